platform: First whole path on the users' platform

Cause: the users' request; nothing of the product ran on their platform. Change: platform/ translates settings, store, ingress, replicas and objects; internal/edge serves callers in one process a VM; fleet, canary, retry, retrybudget and routing hold the decisions.

--- /dev/null
+++ b/cmd/pier-edge/main.go
@@ -0,0 +1,63 @@
+// Command pier-edge is the whole system of an entry VM on the users' platform:
+// the request path and the control duties in one process.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/dig"
+
+	"github.com/cranberrypier/cranberrypier/internal/catalog"
+	"github.com/cranberrypier/cranberrypier/internal/edge"
+	"github.com/cranberrypier/cranberrypier/internal/logs"
+	"github.com/cranberrypier/cranberrypier/internal/program"
+	"github.com/cranberrypier/cranberrypier/internal/vm"
+	"github.com/cranberrypier/cranberrypier/platform"
+)
+
+// options is the command line.
+type options struct {
+	Metrics string `placeholder:"IP:PORT" help:"Address that serves the metrics."`
+}
+
+func main() {
+	var line options
+	kong.Parse(&line, kong.Name("pier-edge"), kong.Description("Serves callers on an entry VM of the platform."))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP) // the settings that may change are read at the start only
+	out := logs.NewWriter(os.Stdout)
+	logs.Setup(out)
+	err := run(ctx, line)
+	out.Close()
+	os.Exit(program.Report("pier-edge", err, os.Stderr))
+}
+
+// run builds the container and runs the process.
+func run(ctx context.Context, line options) error {
+	c := dig.New()
+	for _, p := range []any{
+		platform.LoadSettings,
+		edge.NewMetrics,
+		edge.New,
+		func() edge.Ingress { return platform.Ingress{} },
+		func() edge.Protocol { return platform.Replicas{} },
+		func() edge.Documents { return platform.Documents{} },
+		func(s *vm.Settings, m *edge.Metrics) catalog.Source {
+			return platform.NewObjects(s.Store.Address, edge.StoreTransport(), m.StoreCall)
+		},
+	} {
+		if err := c.Provide(p); err != nil {
+			return fmt.Errorf("container: %w", err)
+		}
+	}
+	if err := c.Provide(func() string { return line.Metrics }, dig.Name("metrics")); err != nil {
+		return fmt.Errorf("container: %w", err)
+	}
+	return c.Invoke(func(a *edge.App) error { return a.Run(ctx) })
+}
--- /dev/null
+++ b/internal/catalog/watcher.go
@@ -0,0 +1,135 @@
+package catalog
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/cranberrypier/cranberrypier/internal/result"
+)
+
+// Times of a watcher.
+const (
+	// listTimeout bounds one list call; the store answers in milliseconds, and
+	// in a few hundred when it is slow.
+	listTimeout = 1500 * time.Millisecond
+	// watchMargin is how much longer than it asked for a watch call may take.
+	watchMargin = 700 * time.Millisecond
+	// firstPause and longestPause bound the exponential backoff between failed
+	// calls, each of which is paid for.
+	firstPause   = 150 * time.Millisecond
+	longestPause = 1200 * time.Millisecond
+	// awayTime is how long the store has to fail before its return counts as
+	// one after an absence.
+	awayTime = 700 * time.Millisecond
+)
+
+// Handler takes what a watcher sees, in order, in the watcher's goroutine.
+type Handler struct {
+	// Replace takes the whole list of a kind.
+	Replace func(list []Object)
+	// Apply takes changes since the list.
+	Apply func(changes []Change)
+	// Returned is told when the store answers again after an absence, before
+	// what it answered. It may be nil.
+	Returned func()
+}
+
+// Watcher follows one kind of objects: a list, then watches from its revision.
+type Watcher struct {
+	source Source
+	kind   Kind
+	wait   time.Duration
+	handle Handler
+
+	failing  time.Time // since when calls fail; zero when they do not
+	pause    time.Duration
+	revision uint64
+	listed   bool
+}
+
+// NewWatcher returns a watcher whose calls wait at most wait for a change.
+func NewWatcher(source Source, kind Kind, wait time.Duration, handle Handler) *Watcher {
+	return &Watcher{source: source, kind: kind, wait: wait, handle: handle}
+}
+
+// Run follows the kind until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		var err error
+		if w.listed {
+			err = w.watch(ctx)
+		} else {
+			err = w.list(ctx)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			continue
+		}
+		w.failed(err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(w.pause/2 + rand.N(w.pause/2)):
+		}
+	}
+}
+
+func (w *Watcher) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	list, at, err := w.source.List(ctx, w.kind)
+	if err != nil {
+		return err
+	}
+	w.answered()
+	w.revision = at
+	w.listed = true
+	w.handle.Replace(list)
+	return nil
+}
+
+func (w *Watcher) watch(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, w.wait+watchMargin)
+	defer cancel()
+	changes, at, err := w.source.Watch(ctx, w.kind, w.revision, w.wait)
+	if result.Is(err, result.PlatformGone) {
+		klog.InfoS("catalog: history gone, listing anew", "kind", w.kind, "revision", w.revision)
+		w.listed = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	w.answered()
+	if at > w.revision {
+		w.revision = at
+	}
+	if len(changes) > 0 {
+		w.handle.Apply(changes)
+	}
+	return nil
+}
+
+func (w *Watcher) answered() {
+	if !w.failing.IsZero() {
+		away := time.Since(w.failing)
+		klog.InfoS("catalog: store regained", "kind", w.kind, "away", away)
+		if away >= awayTime && w.handle.Returned != nil {
+			w.handle.Returned()
+		}
+	}
+	w.failing = time.Time{}
+	w.pause = 0
+}
+
+func (w *Watcher) failed(err error) {
+	if w.failing.IsZero() {
+		w.failing = time.Now()
+		klog.InfoS("catalog: store lost", "kind", w.kind, "revision", w.revision, "err", err)
+	}
+	w.pause = min(max(2*w.pause, firstPause), longestPause)
+}
--- /dev/null
+++ b/internal/edge/follow.go
@@ -0,0 +1,270 @@
+package edge
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/cranberrypier/cranberrypier/internal/canary"
+	"github.com/cranberrypier/cranberrypier/internal/catalog"
+	"github.com/cranberrypier/cranberrypier/internal/fleet"
+)
+
+// Waits of the watches. A silent connection is found by its keep-alive probes;
+// the waits bound how long a lost answer of the store goes unnoticed.
+const (
+	quickWait = 8 * time.Second
+	slowWait  = 20 * time.Second
+)
+
+// Follower keeps the service's view of the store.
+type Follower struct {
+	service *Service
+	source  catalog.Source
+	docs    Documents
+	zones   map[string]bool
+	orders  map[string]orderObject // by object name
+	ready   atomic.Bool
+	known   struct{ config, upstreams atomic.Bool }
+}
+
+// orderObject is a roll-out's object as last seen.
+type orderObject struct {
+	order    canary.Order
+	revision uint64
+}
+
+// NewFollower returns a follower that knows nothing yet.
+func NewFollower(s *Service, source catalog.Source, docs Documents) *Follower {
+	return &Follower{service: s, source: source, docs: docs, zones: make(map[string]bool), orders: make(map[string]orderObject)}
+}
+
+// Ready reports whether the VM knows enough to serve callers.
+func (f *Follower) Ready() bool { return f.known.config.Load() && f.known.upstreams.Load() }
+
+// Watchers returns a watcher for each kind.
+func (f *Follower) Watchers() []*catalog.Watcher {
+	return []*catalog.Watcher{
+		catalog.NewWatcher(f.source, catalog.Configurations, quickWait, catalog.Handler{
+			Replace: func(l []catalog.Object) { f.each(l, f.configuration) },
+			Apply:   func(c []catalog.Change) { f.changes(c, f.configuration, nil) },
+		}),
+		catalog.NewWatcher(f.source, catalog.Upstreams, quickWait, catalog.Handler{
+			Replace: f.upstreams, Apply: f.upstreamChanges,
+			Returned: func() { f.service.fleet.StoreReturned(time.Now()) },
+		}),
+		catalog.NewWatcher(f.source, catalog.RollOuts, slowWait, catalog.Handler{
+			Replace: func(l []catalog.Object) { f.each(l, f.rollOut) },
+			Apply:   func(c []catalog.Change) { f.changes(c, f.rollOut, f.rollOutGone) },
+		}),
+		catalog.NewWatcher(f.source, catalog.Withdrawals, slowWait, catalog.Handler{
+			Replace: f.withdrawals,
+			Apply:   func(c []catalog.Change) { f.changes(c, f.withdrawn, f.returned) },
+		}),
+	}
+}
+
+func (f *Follower) each(list []catalog.Object, take func(catalog.Object)) {
+	for _, o := range list {
+		take(o)
+	}
+}
+
+func (f *Follower) changes(changes []catalog.Change, take, drop func(catalog.Object)) {
+	for _, c := range changes {
+		switch {
+		case !c.Deleted && !c.Object.Deleting:
+			take(c.Object)
+		case drop != nil:
+			drop(c.Object)
+		}
+	}
+}
+
+// configuration takes a configuration that is newer than the one in force.
+func (f *Follower) configuration(o catalog.Object) {
+	if o.Name != f.docs.ConfigName() {
+		return
+	}
+	config, err := f.docs.DecodeConfig(o.Spec)
+	if err != nil {
+		klog.ErrorS(err, "config: rejected", "revision", o.Revision)
+		return
+	}
+	if in := f.service.configVersion(); config.Version <= in {
+		klog.InfoS("config: not newer", "version", config.Version, "inForce", in)
+		return
+	}
+	rates := make(map[string]float64, len(config.Services))
+	for name, s := range config.Services {
+		rates[name] = s.ColdRate
+	}
+	f.service.fleet.SetServices(rates)
+	f.service.config.Store(config)
+	f.known.config.Store(true)
+	klog.InfoS("config: in force", "version", config.Version, "revision", o.Revision, "routes", config.Routes(), "keys", len(config.Keys))
+}
+
+// upstreams takes the whole list of upstreams.
+func (f *Follower) upstreams(list []catalog.Object) {
+	now := time.Now()
+	out := make([]fleet.Upstream, 0, len(list))
+	for _, o := range list {
+		if o.Deleting {
+			continue
+		}
+		u, err := f.docs.DecodeUpstream(o.Name, o.Spec, now)
+		if err != nil {
+			klog.InfoS("fleet: entry ignored", "upstream", o.Name, "revision", o.Revision, "err", err)
+			continue
+		}
+		out = append(out, u)
+	}
+	f.service.fleet.Replace(now, out)
+	f.known.upstreams.Store(true)
+	klog.InfoS("fleet: listed", "upstreams", len(out))
+}
+
+func (f *Follower) upstreamChanges(changes []catalog.Change) {
+	now := time.Now()
+	for _, c := range changes {
+		o := c.Object
+		if c.Deleted || o.Deleting {
+			f.service.fleet.Remove(now, o.Name)
+			klog.InfoS("fleet: upstream gone", "upstream", o.Name, "revision", o.Revision)
+			continue
+		}
+		u, err := f.docs.DecodeUpstream(o.Name, o.Spec, now)
+		if err != nil {
+			klog.InfoS("fleet: entry ignored", "upstream", o.Name, "revision", o.Revision, "err", err)
+			continue
+		}
+		f.service.fleet.Upsert(now, u)
+		klog.InfoS("fleet: upstream", "upstream", u.ID, "service", u.Service, "address", u.Address, "zone", u.Zone,
+			"version", u.Version, "leaving", u.Leaving, "born", u.Born, "revision", o.Revision)
+	}
+}
+
+func (f *Follower) rollOut(o catalog.Object) {
+	order, err := f.docs.DecodeRollOut(o.Spec, o.Status)
+	if err != nil {
+		klog.InfoS("canary: order ignored", "rollout", o.Name, "revision", o.Revision, "err", err)
+		return
+	}
+	if order.Service == "" {
+		order.Service = o.Name
+	}
+	f.service.mu.Lock()
+	f.orders[o.Name] = orderObject{order: order, revision: o.Revision}
+	f.service.canary.SetOrder(time.Now(), order)
+	f.service.mu.Unlock()
+	klog.InfoS("canary: order", "service", order.Service, "target", order.Target, "duration", order.Duration,
+		"phase", order.Phase, "revision", o.Revision)
+}
+
+func (f *Follower) rollOutGone(o catalog.Object) {
+	f.service.mu.Lock()
+	defer f.service.mu.Unlock()
+	if known, ok := f.orders[o.Name]; ok {
+		f.service.canary.RemoveOrder(known.order.Service)
+		delete(f.orders, o.Name)
+	}
+	klog.InfoS("canary: order gone", "rollout", o.Name, "revision", o.Revision)
+}
+
+func (f *Follower) withdrawals(list []catalog.Object) {
+	clear(f.zones)
+	for _, o := range list {
+		if !o.Deleting {
+			f.zones[o.Name] = true
+		}
+	}
+	f.applyZones()
+}
+
+func (f *Follower) withdrawn(o catalog.Object) {
+	f.zones[o.Name] = true
+	f.applyZones()
+}
+
+func (f *Follower) returned(o catalog.Object) {
+	delete(f.zones, o.Name)
+	f.applyZones()
+}
+
+func (f *Follower) applyZones() {
+	zones := make([]string, 0, len(f.zones))
+	for z := range f.zones {
+		zones = append(zones, z)
+	}
+	f.service.fleet.SetWithdrawn(zones)
+	klog.InfoS("fleet: zones withdrawn", "zones", zones)
+}
+
+// Tick times.
+const (
+	// tickTime is the pace of what happens by itself.
+	tickTime = 200 * time.Millisecond
+	// reportTimeout bounds the report of a verdict.
+	reportTimeout = time.Second
+	// reportAgain is the pause before a report that failed is repeated.
+	reportAgain = 700 * time.Millisecond
+)
+
+// Tick judges roll-outs and expires lapsed entries until ctx ends.
+func (f *Follower) Tick(ctx context.Context) {
+	tick := time.NewTicker(tickTime)
+	defer tick.Stop()
+	var next time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := time.Now()
+		f.service.fleet.Expire(now)
+		if now.Before(next) {
+			continue
+		}
+		f.service.mu.Lock()
+		verdicts := f.service.canary.Tick(now)
+		f.service.mu.Unlock()
+		for _, v := range verdicts {
+			f.report(ctx, v)
+			next = now.Add(reportAgain)
+		}
+	}
+}
+
+// report writes a verdict to the store. Another VM may have been faster; the
+// condition on the revision makes that harmless.
+func (f *Follower) report(ctx context.Context, v canary.Verdict) {
+	f.service.mu.Lock()
+	name, revision := "", uint64(0)
+	for n, o := range f.orders {
+		if o.order.Service == v.Order.Service {
+			name, revision = n, o.revision
+		}
+	}
+	f.service.mu.Unlock()
+	if name == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	err := f.source.WriteStatus(ctx, catalog.RollOuts, name, revision, f.docs.EncodeRollOutStatus(v.Order.Target, v.Phase))
+	klog.InfoS("canary: verdict", "service", v.Order.Service, "target", v.Order.Target, "phase", v.Phase, "age", v.Age,
+		"new", v.New.Total, "newBad", v.New.Bad, "old", v.Old.Total, "oldBad", v.Old.Bad, "route", v.Route,
+		"revision", revision, "err", err)
+	if err != nil {
+		return
+	}
+	done := v.Order
+	done.Phase = v.Phase
+	f.service.mu.Lock()
+	f.service.canary.SetOrder(time.Now(), done)
+	f.service.mu.Unlock()
+}
--- /dev/null
+++ b/internal/edge/labels.go
@@ -0,0 +1,30 @@
+package edge
+
+import "sync"
+
+// otherLabel stands for the values beyond a label's bound.
+const otherLabel = "other"
+
+// labelSet bounds the values of a label to those that came first.
+type labelSet struct {
+	most int
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+// bound returns the value, or otherLabel when there are too many.
+func (l *labelSet) bound(value string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.seen[value] {
+		return value
+	}
+	if len(l.seen) >= l.most {
+		return otherLabel
+	}
+	if l.seen == nil {
+		l.seen = make(map[string]bool)
+	}
+	l.seen[value] = true
+	return value
+}
--- /dev/null
+++ b/internal/fleet/choose.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"time"
+)
+
+// Weights of the choice, in milliseconds of expected waiting unless named
+// otherwise.
+const (
+	// zonePenalty is the cost of a byte-carrying hop between zones: the way there
+	// and back, and the price of the bytes.
+	zonePenalty = 4.0
+	// defaultLatency is assumed of a plain upstream that has not answered yet.
+	defaultLatency = 30.0
+	// defaultPace is the first-token time of one uncached prompt token until it
+	// has been measured.
+	defaultPace = 0.03
+	// tokenFloor is the part of a first token's time that does not depend on the
+	// prompt, in tokens.
+	tokenFloor = 400
+	// decodeCost is the slowdown by one running request.
+	decodeCost = 1.0
+	// homeDiscount is the share of a prompt's shared tokens that counts as
+	// uncached at the prompt's home upstream when this VM has not sent it there:
+	// other VMs probably have.
+	homeDiscount = 0.3
+	// failCost is what a failed attempt costs, as a share of the aim.
+	failCost = 1.5
+	// crowded is the busy share of slots above which a plain upstream's waiting
+	// grows.
+	crowded = 0.7
+)
+
+// Candidate is what the choice between upstreams depends on.
+type Candidate struct {
+	// Busy and Waiting are requests that run or queue there; Slots run at once.
+	Busy    float64
+	Waiting float64
+	Slots   int
+	// Pending are prompt tokens ahead of this request.
+	Pending int
+	// Uncached are this request's prompt tokens that have to be read.
+	Uncached int
+	// Pace is the time of one prompt token, in ms.
+	Pace float64
+	// Latency is the average time of a plain call, in ms.
+	Latency float64
+	// Slow is how much slower than others the upstream has been.
+	Slow float64
+	// Failures is the share of attempts that fail there.
+	Failures float64
+	SameZone bool
+	// Generates is true for model engines.
+	Generates bool
+}
+
+// Expect estimates the time to the first byte of an answer, in milliseconds.
+// For engines it is the reading of prompts ahead and of the request's own;
+// for plain services the queue for a slot and the call.
+func (c Candidate) Expect() float64 {
+	if c.Generates {
+		reading := float64(c.Pending+c.Uncached+tokenFloor) * c.Pace
+		queue := c.Waiting * float64(tokenFloor*4) * c.Pace
+		return (reading+queue)*c.Slow + c.Busy*decodeCost
+	}
+	latency := c.Latency
+	if latency == 0 {
+		latency = defaultLatency
+	}
+	slots := float64(max(c.Slots, 1))
+	queue := max(c.Busy+1-slots, 0) / slots * latency
+	crowd := max(c.Busy/slots-crowded, 0) * latency
+	return latency + queue + crowd + c.Busy/slots
+}
+
+// Cost is the expected time with the risk of failure and the distance, in ms.
+// The request goes to the candidate with the least cost. It answers bursts and
+// long prompts (own requests count at once, reports only as long as they are
+// fresh) and upstreams that fail part of their requests while they look well.
+func (c Candidate) Cost(aim time.Duration) float64 {
+	cost := c.Expect() + c.Failures*failCost*float64(aim.Milliseconds())
+	if !c.SameZone {
+		cost += zonePenalty
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/fleet/pick.go
@@ -0,0 +1,276 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cranberrypier/cranberrypier/internal/exchange"
+)
+
+// Query asks for an upstream for one attempt.
+type Query struct {
+	Service   string
+	Generates bool
+	Model     string
+	// Prompt identifies the shared parts of the prompt; zero when there are none.
+	Prompt uint64
+	// Shared and Own are the tokens of the shared parts and of the rest.
+	Shared int
+	Own    int
+	Aim    time.Duration
+	// Exclude names upstreams that were tried already.
+	Exclude []string
+	// Allow reports whether a version may get the request.
+	Allow func(version string) bool
+}
+
+// Reason says why no upstream could be picked.
+type Reason string
+
+// Reasons of an empty pick.
+const (
+	Picked      Reason = ""
+	NoneListed  Reason = "none_listed"
+	NoneAllowed Reason = "none_allowed"
+	AllCold     Reason = "all_cold"
+	AllDown     Reason = "all_down"
+)
+
+// Pick is an upstream that one attempt goes to. It counts there until Done.
+type Pick struct {
+	Upstream
+	// Expect is the expected time to the first byte.
+	Expect time.Duration
+	// Cost and Candidates are what decided, for the log.
+	Cost       float64
+	Candidates int
+	Uncached   int
+
+	model   string
+	pending int
+	began   time.Time
+	first   bool
+}
+
+// Pick chooses the upstream with the least cost and counts the attempt there.
+func (f *Fleet) Pick(now time.Time, q Query) (*Pick, Reason) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := f.byService[q.Service]
+	if len(list) == 0 {
+		return nil, NoneListed
+	}
+	eligible, reason := f.eligible(now, q, list)
+	if len(eligible) == 0 {
+		return nil, reason
+	}
+	home := homeOf(eligible, q.Prompt)
+	var best *member
+	var bestCandidate Candidate
+	bestCost := 0.0
+	for _, m := range eligible {
+		c := f.candidate(now, q, m, m == home)
+		cost := c.Cost(q.Aim)
+		if best == nil || cost < bestCost {
+			best, bestCandidate, bestCost = m, c, cost
+		}
+	}
+	return f.take(now, q, best, bestCandidate, bestCost, len(eligible)), Picked
+}
+
+// eligible lists the upstreams that may get the request. Upstreams that could
+// not be reached lately are used only when there is no other.
+func (f *Fleet) eligible(now time.Time, q Query, list []*member) ([]*member, Reason) {
+	var up, down []*member
+	cold := false
+	for _, m := range list {
+		if m.Leaving || m.misdirected || f.withdrawn[m.Zone] || slices.Contains(q.Exclude, m.ID) || !q.Allow(m.Version) {
+			continue
+		}
+		switch {
+		case f.spared(now, m):
+			cold = true
+		case now.Before(m.downUntil) || !m.lapsed.IsZero():
+			down = append(down, m)
+		default:
+			up = append(up, m)
+		}
+	}
+	switch {
+	case len(up) > 0:
+		return up, Picked
+	case len(down) > 0:
+		return down, Picked
+	case cold:
+		return nil, AllCold
+	}
+	return nil, NoneAllowed
+}
+
+// homeOf is the upstream that all VMs agree on for a prompt, by rendezvous
+// hashing, so that its shared parts are read once without any message.
+func homeOf(list []*member, prompt uint64) *member {
+	if prompt == 0 {
+		return nil
+	}
+	var home *member
+	var most uint64
+	var buf [8]byte
+	binary.LittleEndian.PutUint64(buf[:], prompt)
+	for _, m := range list {
+		var d xxhash.Digest
+		d.Reset()
+		_, _ = d.Write(buf[:]) // a hash never fails to write
+		_, _ = d.WriteString(m.ID)
+		if h := d.Sum64(); home == nil || h > most {
+			home, most = m, h
+		}
+	}
+	return home
+}
+
+func (f *Fleet) candidate(now time.Time, q Query, m *member, home bool) Candidate {
+	c := Candidate{
+		Busy: float64(m.inflight) + m.others(now), Waiting: m.waiting(now), Slots: m.Slots,
+		Pending: m.pendingTokens, Latency: m.latency, Slow: m.slow, Failures: m.failures(now),
+		SameZone: m.Zone == f.cfg.Zone, Generates: q.Generates, Pace: f.paceOf(q.Model),
+	}
+	c.Uncached = q.Own + q.Shared
+	switch {
+	case m.remembers(now, cacheKey(q.Prompt, q.Model)):
+		c.Uncached = q.Own
+	case home:
+		c.Uncached = q.Own + int(homeDiscount*float64(q.Shared))
+	}
+	return c
+}
+
+func (f *Fleet) paceOf(model string) float64 {
+	if p := f.pace[model]; p > 0 {
+		return p
+	}
+	return defaultPace
+}
+
+func cacheKey(prompt uint64, model string) uint64 {
+	return prompt ^ xxhash.Sum64String(model)
+}
+
+func (f *Fleet) take(now time.Time, q Query, m *member, c Candidate, cost float64, candidates int) *Pick {
+	p := &Pick{
+		Upstream: m.Upstream, Cost: cost, Candidates: candidates, Uncached: c.Uncached,
+		Expect: time.Duration(c.Expect() * float64(time.Millisecond)), model: q.Model, began: now,
+	}
+	if q.Generates {
+		p.pending = c.Uncached + tokenFloor
+	}
+	m.inflight++
+	m.pendingTokens += p.pending
+	if f.coldRate[m.Service] > 0 {
+		m.forget(now)
+		m.sent = append(m.sent, now)
+	}
+	if q.Prompt != 0 {
+		m.cached.Add(cacheKey(q.Prompt, q.Model), now)
+	}
+	return p
+}
+
+// FirstByte notes that the answer to a pick has begun.
+func (f *Fleet) FirstByte(now time.Time, p *Pick, load *exchange.Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.of(p)
+	if m == nil || p.first {
+		return
+	}
+	p.first = true
+	m.pendingTokens -= p.pending
+	m.downFor = 0
+	m.downUntil = time.Time{}
+	if load != nil {
+		m.reported(now, *load)
+	}
+	took := float64(now.Sub(p.began).Microseconds()) / 1000
+	if p.pending == 0 {
+		m.latency = average(m.latency, took)
+		return
+	}
+	ratio := took / max(float64(p.Expect.Microseconds())/1000, 1)
+	m.slow = min(max(average(m.slow, m.slow*ratio), 0.5), slowLimit)
+	f.pace[p.model] = lowTide(f.paceOf(p.model), took/float64(p.pending))
+}
+
+// lowTide follows the lower samples: a first token that waited for other
+// prompts says little about the reading of its own.
+func lowTide(old, sample float64) float64 {
+	weight := paceUp
+	if sample < old {
+		weight = paceDown
+	}
+	return old + weight*(sample-old)
+}
+
+func average(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + latencyWeight*(sample-old)
+}
+
+// End is how an attempt at an upstream ended, for its standing.
+type End int
+
+// The ends of an attempt.
+const (
+	// EndGood: the answer was whole.
+	EndGood End = iota
+	// EndFailed: an error, a broken answer, or silence.
+	EndFailed
+	// EndUnreachable: no connection could be made.
+	EndUnreachable
+	// EndRejected: the upstream had no room.
+	EndRejected
+	// EndMisdirected: another incarnation has the address.
+	EndMisdirected
+	// EndNeutral: the caller left, or the attempt was dropped by choice.
+	EndNeutral
+)
+
+// Done ends a pick.
+func (f *Fleet) Done(now time.Time, p *Pick, end End) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.of(p)
+	if m == nil {
+		return
+	}
+	m.inflight--
+	if !p.first {
+		p.first = true
+		m.pendingTokens -= p.pending
+	}
+	switch end {
+	case EndGood:
+		m.outcome(now, false)
+	case EndFailed, EndRejected:
+		m.outcome(now, true)
+	case EndUnreachable:
+		m.outcome(now, true)
+		m.down(now)
+	case EndMisdirected:
+		m.misdirected = true
+	}
+}
+
+// of finds the member of a pick; nil when its incarnation is gone.
+func (f *Fleet) of(p *Pick) *member {
+	m := f.members[p.ID]
+	if m == nil || m.Born != p.Born || m.Address != p.Address {
+		return nil
+	}
+	return m
+}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -36,6 +36,7 @@
 	Quarantined      Code = 1106
 	Draining         Code = 1107
 	NotReady         Code = 1108
+	UpstreamInvalid  Code = 1109
 )
 
 // Codes of claims and delivery (1200 to 1299).
@@ -77,6 +78,7 @@
 	PlatformUnsure      Code = 3004
 	PlatformTooLarge    Code = 3005
 	PlatformBusy        Code = 3006
+	PlatformGone        Code = 3007
 )
 
 // Codes between our own processes (3100 to 3199).
@@ -123,6 +125,7 @@
 	Quarantined:      {"quarantined", http.StatusUnprocessableEntity, Ran, 0},
 	Draining:         {"draining", http.StatusServiceUnavailable, NotRun, time.Second},
 	NotReady:         {"not_ready", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
+	UpstreamInvalid:  {"upstream_invalid", http.StatusServiceUnavailable, NotRun, 0},
 
 	ClaimUnavailable: {"claim_unavailable", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
 	RunUnknown:       {"run_unknown", http.StatusConflict, Unknown, 0},
@@ -152,6 +155,7 @@
 	PlatformUnsure:      {"platform_unsure", http.StatusServiceUnavailable, Unknown, 2 * time.Second},
 	PlatformTooLarge:    {"platform_too_large", http.StatusRequestEntityTooLarge, NotRun, 0},
 	PlatformBusy:        {"platform_busy", http.StatusTooManyRequests, NotRun, time.Second},
+	PlatformGone:        {"platform_gone", http.StatusGone, NotRun, 0},
 
 	PeerUnreachable: {"peer_unreachable", http.StatusServiceUnavailable, Unknown, time.Second},
 	PeerRefused:     {"peer_refused", http.StatusForbidden, NotRun, 0},
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -83,6 +83,14 @@
 	return err != nil && From(err).Code == c
 }
 
+// Name is the stable name of the code that err carries; "ok" without an error.
+func Name(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	return From(err).Code.Info().Name
+}
+
 // Info is the fixed description of a code.
 type Info struct {
 	// Name is the code's stable name in snake case.
