gossip: VMs tell each other their load and their view of roll-outs by datagram

Cause: each VM knew only its own requests at an upstream, so several sent long prompts to one engine at once; roll-outs were judged by an eighth of the outcomes. Escalation to the largest model by value (chance to be good and on time, price, load).

--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -26,6 +26,10 @@
 	awayTime = 700 * time.Millisecond
 )
 
+// gatherTime lets changes that come together be answered by one call; each
+// call is paid for.
+const gatherTime = 150 * time.Millisecond
+
 // Handler takes what a watcher sees, in order, in the watcher's goroutine.
 type Handler struct {
 	// Replace takes the whole list of a kind.
@@ -71,10 +75,17 @@
 			continue
 		}
 		w.failed(err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(w.pause/2 + rand.N(w.pause/2)):
-		}
+		pause(ctx, w.pause/2+rand.N(w.pause/2))
+	}
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
@@ -110,6 +121,7 @@
 	}
 	if len(changes) > 0 {
 		w.handle.Apply(changes)
+		pause(ctx, gatherTime)
 	}
 	return nil
 }
--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -20,6 +20,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/canary"
 	"github.com/cranberrypier/cranberrypier/internal/catalog"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
+	"github.com/cranberrypier/cranberrypier/internal/gossip"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/cranberrypier/cranberrypier/internal/retrybudget"
 	"github.com/cranberrypier/cranberrypier/internal/vm"
@@ -60,20 +61,28 @@
 	o        Options
 	service  *Service
 	follower *Follower
+	start    int64
+}
+
+// startName names one start of a VM.
+func startName(m gossip.Member) string {
+	return m.Name + "/" + strconv.FormatInt(m.Start, 36)
 }
 
 // New wires the process.
 func New(o Options) *App {
 	b := o.Settings.Bounds
+	start := time.Now().UnixMilli()
+	self := gossip.Member{Name: o.Settings.Name, Start: start}
 	s := &Service{
 		ingress: o.Ingress, protocol: o.Protocol, upstreams: upstreamTransport(), metrics: o.Metrics,
 		fleet: fleet.New(fleet.Config{
 			VM: o.Settings.Name, Zone: o.Settings.Zone, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack,
 		}),
 		budget: retrybudget.New(retrybudget.Config{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: max(b.RetryWindow, time.Second)}),
-		canary: canary.New(o.Settings.Name+"/"+strconv.FormatInt(time.Now().UnixNano(), 36), b.ExposureShare, b.SessionTTL),
+		canary: canary.New(startName(self), b.ExposureShare, b.SessionTTL),
 	}
-	return &App{o: o, service: s, follower: NewFollower(s, o.Source, o.Documents)}
+	return &App{o: o, service: s, follower: NewFollower(s, o.Source, o.Documents), start: start}
 }
 
 // StoreTransport is the transport of the store's client.
@@ -94,6 +103,9 @@
 		background.Go(func() { w.Run(work) })
 	}
 	background.Go(func() { a.follower.Tick(work) })
+	if err := a.gossip(work, &background); err != nil {
+		return err
+	}
 	err := a.serve(ctx)
 	stop()
 	background.Wait()
@@ -101,6 +113,22 @@
 	return err
 }
 
+// gossip keeps in touch with the other VMs.
+func (a *App) gossip(ctx context.Context, background *sync.WaitGroup) error {
+	set := a.o.Settings
+	if set.Peers == "" {
+		klog.InfoS("gossip: no address for peers, this VM stands alone")
+		return nil
+	}
+	self := gossip.Member{Name: set.Name, Start: a.start, Address: set.Peers, Zone: set.Zone}
+	peers, err := gossip.New(self, set.Seeds, a.service.gossipSources())
+	if err != nil {
+		return err
+	}
+	background.Go(func() { peers.Run(ctx) })
+	return nil
+}
+
 // serve runs the listeners until they are stopped.
 func (a *App) serve(ctx context.Context) error {
 	front := &http.Server{
--- a/internal/edge/models.go
+++ b/internal/edge/models.go
@@ -1,34 +1,60 @@
 package edge
 
 import (
-	"os"
-	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
 
 	"github.com/cranberrypier/cranberrypier/internal/exchange"
+	"github.com/cranberrypier/cranberrypier/internal/modelchoice"
 )
 
 // modelPlan is which models a request tries.
 type modelPlan struct {
 	model string
-	next  []string
+	// larger is the model that may be asked instead; empty for none.
+	larger string
 }
 
-var thr, _ = strconv.Atoi(os.Getenv("PIER_T"))
-
-// planModels names the models for a request.
+// planModels names the models for a request: the smallest first, since its
+// opinion of its own answer tells whether the largest is needed.
 func (s *Service) planModels(r *exchange.Request) *modelPlan {
-	if !r.AnyModel || len(r.Route.Models) == 0 {
+	sizes := r.Route.Models
+	if !r.AnyModel || len(sizes) == 0 {
 		return &modelPlan{model: r.Model}
 	}
-	return &modelPlan{model: r.Route.Models[0], next: r.Route.Models[len(r.Route.Models)-1:]}
+	p := &modelPlan{model: sizes[0]}
+	if len(sizes) > 1 && r.Route.MaxUpstreams > 1 {
+		p.larger = sizes[len(sizes)-1]
+	}
+	return p
 }
 
-// escalate reports whether the answer is dropped for that of a stronger model.
+// escalate reports whether the answer is dropped for that of a larger model.
+// The caller must not have got any of it.
 func (p *modelPlan) escalate(x *run, a *attempt) bool {
-	if len(p.next) == 0 || a.head.Confidence >= thr || !x.s.budget.Repeat(a.began, x.req.Service.Name) {
+	if p.larger == "" || a.head.Confidence < 0 {
+		return false
+	}
+	now := time.Now()
+	left := x.req.Arrived.Add(x.req.Route.Aim).Sub(now)
+	expect, ok := x.s.fleet.Estimate(now, x.query(p.larger))
+	if !ok {
+		return false
+	}
+	answer := modelchoice.Answer{Confidence: a.head.Confidence, Left: left}
+	offer := modelchoice.Offer{
+		Cost: x.req.Service.Costs[p.larger], Expect: expect, Left: left, Aim: x.req.Route.Aim,
+	}
+	if !modelchoice.Escalate(answer, offer) {
+		return false
+	}
+	if !x.s.budget.Repeat(now, x.req.Service.Name) {
+		klog.InfoS("model: kept", "request", x.req.ID, "because", "over_budget", "confidence", a.head.Confidence)
 		return false
 	}
-	p.model = p.next[0]
-	p.next = nil
+	klog.InfoS("model: larger", "request", x.req.ID, "from", p.model, "to", p.larger, "confidence", a.head.Confidence,
+		"keep", answer.Value(), "ask", offer.Value(), "expect", expect.Milliseconds(), "left", left.Milliseconds())
+	p.model, p.larger = p.larger, ""
 	return true
 }
--- /dev/null
+++ b/internal/edge/peers.go
@@ -0,0 +1,50 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/cranberrypier/cranberrypier/internal/canary"
+	"github.com/cranberrypier/cranberrypier/internal/gossip"
+	"k8s.io/klog/v2"
+)
+
+// gossipSources joins the service to the other VMs.
+func (s *Service) gossipSources() gossip.Sources {
+	return gossip.Sources{
+		Loads:     s.fleet.Loads,
+		RollOuts:  s.rollOutReports,
+		Config:    s.configVersion,
+		Heard:     s.heard,
+		Changed:   s.vmsChanged,
+		StartName: startName,
+	}
+}
+
+func (s *Service) rollOutReports(now time.Time) []canary.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.canary.Reports(now)
+}
+
+// heard takes what another VM tells.
+func (s *Service) heard(now time.Time, m gossip.Message) {
+	s.fleet.Heard(now, m.From.Name, m.Loads)
+	if len(m.RollOuts) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range m.RollOuts {
+		if s.canary.Merge(now, r) {
+			klog.InfoS("canary: condemned by another VM", "service", r.Service, "target", r.Target, "from", m.From.Name)
+		}
+	}
+}
+
+// vmsChanged takes the live VMs.
+func (s *Service) vmsChanged(_ time.Time, live []string, starts map[string]bool) {
+	s.fleet.SetVMs(live)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.canary.Forget(starts)
+}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -42,13 +42,9 @@
 // pick chooses an upstream for the next attempt.
 func (x *run) pick(model string) (*fleet.Pick, fleet.Reason) {
 	now := time.Now()
-	r := x.req
-	rule := x.s.versionRule(now, r)
-	q := fleet.Query{
-		Service: r.Service.Name, Generates: r.Service.Generates, Model: model,
-		Prompt: x.s.promptKey(r), Aim: r.Route.Aim, Exclude: x.tried, Allow: rule.First,
-	}
-	q.Shared, q.Own = promptSizes(r)
+	rule := x.s.versionRule(now, x.req)
+	q := x.query(model)
+	q.Allow = rule.First
 	x.why = rule.Why
 	pick, reason := x.s.fleet.Pick(now, q)
 	if pick == nil && rule.Then != nil {
@@ -59,6 +55,18 @@
 	return pick, reason
 }
 
+// query describes the request to the fleet, for any version.
+func (x *run) query(model string) fleet.Query {
+	r := x.req
+	q := fleet.Query{
+		Service: r.Service.Name, Generates: r.Service.Generates, Model: model,
+		Prompt: x.s.promptKey(r), Aim: r.Route.Aim, Exclude: x.tried,
+		Allow: func(string) bool { return true },
+	}
+	q.Shared, q.Own = promptSizes(r)
+	return q
+}
+
 // promptSizes are the tokens of the shared parts of a prompt and of the rest.
 func promptSizes(r *exchange.Request) (shared, own int) {
 	for i, p := range r.Parts {
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -33,12 +33,11 @@
 
 // Candidate is what the choice between upstreams depends on.
 type Candidate struct {
-	// Busy and Waiting are requests that run or queue there; Slots run at once.
-	Busy    float64
-	Waiting float64
-	Slots   int
-	// Pending are prompt tokens ahead of this request.
-	Pending int
+	// Busy are requests that run or queue there; Slots run at once.
+	Busy  float64
+	Slots int
+	// Reading is the time that prompts ahead of this request take, in ms.
+	Reading float64
 	// Uncached are this request's prompt tokens that have to be read.
 	Uncached int
 	// Pace is the time of one prompt token, in ms.
@@ -59,9 +58,8 @@
 // for plain services the queue for a slot and the call.
 func (c Candidate) Expect() float64 {
 	if c.Generates {
-		reading := float64(c.Pending+c.Uncached+tokenFloor) * c.Pace
-		queue := c.Waiting * float64(tokenFloor*4) * c.Pace
-		return (reading+queue)*c.Slow + c.Busy*decodeCost
+		reading := c.Reading + float64(c.Uncached+tokenFloor)*c.Pace
+		return reading*c.Slow + c.Busy*decodeCost
 	}
 	latency := c.Latency
 	if latency == 0 {
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -42,11 +42,12 @@
 	// lapsed is when a vanished entry is given up; zero while it is listed.
 	lapsed time.Time
 
-	inflight      int
-	pendingTokens int // uncached prompt tokens of own requests without a first token
-	load          exchange.Load
-	ownAtLoad     int
-	loadAt        time.Time
+	inflight  int
+	reading   float64 // ms of prompt reading of own requests without a first token
+	load      exchange.Load
+	ownAtLoad int
+	loadAt    time.Time
+	remote    map[string]remoteLoad // by VM
 
 	failRate float64
 	failAt   time.Time
@@ -96,6 +97,27 @@
 	m.load, m.loadAt, m.ownAtLoad = l, now, m.inflight
 }
 
+// remoteLoad is what another VM has in progress here.
+type remoteLoad struct {
+	inflight int
+	reading  float64
+	at       time.Time
+}
+
+// remoteLife is how long another VM's word on its own requests counts.
+const remoteLife = 1500 * time.Millisecond
+
+// fromVMs sums what other VMs have told of their own requests here.
+func (m *member) fromVMs(now time.Time) (inflight, reading float64) {
+	for _, r := range m.remote {
+		if now.Sub(r.at) < remoteLife {
+			inflight += float64(r.inflight)
+			reading += r.reading
+		}
+	}
+	return inflight, reading
+}
+
 // others estimates the requests of other VMs here, from the latest report.
 func (m *member) others(now time.Time) float64 {
 	age := now.Sub(m.loadAt)
@@ -106,15 +128,6 @@
 	return max(float64(n), 0) * (1 - float64(age)/float64(reportLife))
 }
 
-// waiting estimates the requests that queue here, from the latest report.
-func (m *member) waiting(now time.Time) float64 {
-	age := now.Sub(m.loadAt)
-	if m.loadAt.IsZero() || age >= reportLife {
-		return 0
-	}
-	return float64(m.load.Waiting) * (1 - float64(age)/float64(reportLife))
-}
-
 // remembers reports whether this VM sent the prompt here lately.
 func (m *member) remembers(now time.Time, key uint64) bool {
 	at, ok := m.cached.Peek(key)
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -50,7 +50,8 @@
 	Uncached   int
 
 	model   string
-	pending int
+	pending int     // prompt tokens to read
+	reading float64 // ms of reading them
 	began   time.Time
 	first   bool
 }
@@ -59,26 +60,49 @@
 func (f *Fleet) Pick(now time.Time, q Query) (*Pick, Reason) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	c, reason := f.choose(now, q)
+	if c.member == nil {
+		return nil, reason
+	}
+	return f.take(now, q, c), Picked
+}
+
+// Estimate is the expected time to the first byte if a request came now; false
+// when there is no upstream for it.
+func (f *Fleet) Estimate(now time.Time, q Query) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, _ := f.choose(now, q)
+	return time.Duration(c.candidate.Expect() * float64(time.Millisecond)), c.member != nil
+}
+
+// choice is the upstream with the least cost.
+type choice struct {
+	member    *member
+	candidate Candidate
+	cost      float64
+	among     int
+}
+
+func (f *Fleet) choose(now time.Time, q Query) (choice, Reason) {
 	list := f.byService[q.Service]
 	if len(list) == 0 {
-		return nil, NoneListed
+		return choice{}, NoneListed
 	}
 	eligible, reason := f.eligible(now, q, list)
 	if len(eligible) == 0 {
-		return nil, reason
+		return choice{}, reason
 	}
 	home := homeOf(eligible, q.Prompt)
-	var best *member
-	var bestCandidate Candidate
-	bestCost := 0.0
+	best := choice{among: len(eligible)}
 	for _, m := range eligible {
 		c := f.candidate(now, q, m, m == home)
 		cost := c.Cost(q.Aim)
-		if best == nil || cost < bestCost {
-			best, bestCandidate, bestCost = m, c, cost
+		if best.member == nil || cost < best.cost {
+			best.member, best.candidate, best.cost = m, c, cost
 		}
 	}
-	return f.take(now, q, best, bestCandidate, bestCost, len(eligible)), Picked
+	return best, Picked
 }
 
 // eligible lists the upstreams that may get the request. Upstreams that could
@@ -134,10 +158,12 @@
 
 func (f *Fleet) candidate(now time.Time, q Query, m *member, home bool) Candidate {
 	c := Candidate{
-		Busy: float64(m.inflight) + m.others(now), Waiting: m.waiting(now), Slots: m.Slots,
-		Pending: m.pendingTokens, Latency: m.latency, Slow: m.slow, Failures: m.failures(now),
+		Slots: m.Slots, Latency: m.latency, Slow: m.slow, Failures: m.failures(now),
 		SameZone: m.Zone == f.cfg.Zone, Generates: q.Generates, Pace: f.paceOf(q.Model),
 	}
+	inflight, reading := m.fromVMs(now)
+	c.Busy = float64(m.inflight) + max(m.others(now), inflight)
+	c.Reading = m.reading + reading
 	c.Uncached = q.Own + q.Shared
 	switch {
 	case m.remembers(now, cacheKey(q.Prompt, q.Model)):
@@ -159,16 +185,18 @@
 	return prompt ^ xxhash.Sum64String(model)
 }
 
-func (f *Fleet) take(now time.Time, q Query, m *member, c Candidate, cost float64, candidates int) *Pick {
+func (f *Fleet) take(now time.Time, q Query, best choice) *Pick {
+	m, c := best.member, best.candidate
 	p := &Pick{
-		Upstream: m.Upstream, Cost: cost, Candidates: candidates, Uncached: c.Uncached,
+		Upstream: m.Upstream, Cost: best.cost, Candidates: best.among, Uncached: c.Uncached,
 		Expect: time.Duration(c.Expect() * float64(time.Millisecond)), model: q.Model, began: now,
 	}
 	if q.Generates {
 		p.pending = c.Uncached + tokenFloor
+		p.reading = float64(p.pending) * c.Pace
 	}
 	m.inflight++
-	m.pendingTokens += p.pending
+	m.reading += p.reading
 	if f.coldRate[m.Service] > 0 {
 		m.forget(now)
 		m.sent = append(m.sent, now)
@@ -188,7 +216,7 @@
 		return
 	}
 	p.first = true
-	m.pendingTokens -= p.pending
+	m.reading -= p.reading
 	m.downFor = 0
 	m.downUntil = time.Time{}
 	if load != nil {
@@ -251,7 +279,7 @@
 	m.inflight--
 	if !p.first {
 		p.first = true
-		m.pendingTokens -= p.pending
+		m.reading -= p.reading
 	}
 	switch end {
 	case EndGood:
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,164 @@
+// Package gossip keeps the entry VMs in touch: small datagrams tell the others
+// who is there, what this VM has in progress at the upstreams, and how
+// roll-outs go. Every datagram stands alone; a lost one is made good by the
+// next. Nothing that must not be wrong depends on it.
+package gossip
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cranberrypier/cranberrypier/internal/canary"
+	"github.com/cranberrypier/cranberrypier/internal/fleet"
+)
+
+// Member is an entry VM as the others know it.
+type Member struct {
+	Name string `cbor:"1,keyasint"`
+	// Start tells the starts of a VM apart; the latest is the largest.
+	Start   int64  `cbor:"2,keyasint"`
+	Address string `cbor:"3,keyasint"`
+	Zone    string `cbor:"4,keyasint"`
+	// AgeMS is how long ago the member was last heard of, by any path.
+	AgeMS int64 `cbor:"5,keyasint"`
+}
+
+// Message is one datagram.
+type Message struct {
+	From    Member   `cbor:"1,keyasint"`
+	Members []Member `cbor:"2,keyasint,omitempty"`
+	// Loads is what From has in progress.
+	Loads    []fleet.Load    `cbor:"3,keyasint,omitempty"`
+	RollOuts []canary.Report `cbor:"4,keyasint,omitempty"`
+	// Config is the version of the configuration that From has in force.
+	Config uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+const (
+	// aliveTime is how long a VM counts as live after it was last heard of.
+	aliveTime = 4 * time.Second
+	// forgetTime is when a silent VM is no longer told of.
+	forgetTime = 20 * time.Second
+	// membersMost bounds the members that one datagram tells of.
+	membersMost = 8
+)
+
+type peer struct {
+	Member
+	heard time.Time
+}
+
+// Core is the membership. It is pure and not safe for concurrent use.
+type Core struct {
+	self   Member
+	peers  map[string]peer
+	seeds  []string
+	cursor int
+}
+
+// NewCore returns a core that knows only the seeds' addresses.
+func NewCore(self Member, seeds []string) *Core {
+	return &Core{self: self, peers: make(map[string]peer), seeds: seeds}
+}
+
+// Heard takes the membership part of a datagram.
+func (c *Core) Heard(now time.Time, m Message) {
+	from := m.From
+	from.AgeMS = 0
+	c.learn(now, from)
+	for _, other := range m.Members {
+		c.learn(now, other)
+	}
+}
+
+// learn takes newer news of a member: of a later start, or heard of later.
+func (c *Core) learn(now time.Time, m Member) {
+	if m.Name == "" || m.Name == c.self.Name {
+		return
+	}
+	heard := now.Add(-time.Duration(m.AgeMS) * time.Millisecond)
+	old, known := c.peers[m.Name]
+	if known && (m.Start < old.Start || (m.Start == old.Start && !heard.After(old.heard))) {
+		return
+	}
+	c.peers[m.Name] = peer{Member: m, heard: heard}
+}
+
+// Live lists the names of the VMs that are there, this one among them, sorted.
+func (c *Core) Live(now time.Time) []string {
+	out := []string{c.self.Name}
+	for name, p := range c.peers {
+		if now.Sub(p.heard) < aliveTime {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// LiveStarts lists the live VMs with their starts, as roll-out counters name them.
+func (c *Core) LiveStarts(now time.Time, name func(Member) string) map[string]bool {
+	out := map[string]bool{name(c.self): true}
+	for _, p := range c.peers {
+		if now.Sub(p.heard) < aliveTime {
+			out[name(p.Member)] = true
+		}
+	}
+	return out
+}
+
+// Targets lists the addresses that the next datagrams go to: at most most live
+// VMs in turn, those of the own zone and of others alike, and the seeds while
+// they are not known to live.
+func (c *Core) Targets(now time.Time, most int) []string {
+	var live []string
+	known := map[string]bool{c.self.Address: true}
+	for name, p := range c.peers {
+		switch age := now.Sub(p.heard); {
+		case age < aliveTime:
+			live = append(live, p.Address)
+			known[p.Address] = true
+		case age > forgetTime:
+			delete(c.peers, name)
+		}
+	}
+	slices.Sort(live)
+	out := c.turn(live, most)
+	for _, s := range c.seeds {
+		if !known[s] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// turn takes the next n of a list, beginning where it last ended.
+func (c *Core) turn(list []string, n int) []string {
+	if len(list) <= n {
+		return list
+	}
+	out := make([]string, 0, n)
+	for range n {
+		c.cursor++
+		out = append(out, list[c.cursor%len(list)])
+	}
+	return out
+}
+
+// Members lists some of the known members for a datagram, in turn.
+func (c *Core) Members(now time.Time) []Member {
+	names := make([]string, 0, len(c.peers))
+	for name := range c.peers {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	names = c.turn(names, membersMost)
+	out := make([]Member, 0, len(names))
+	for _, name := range names {
+		p := c.peers[name]
+		m := p.Member
+		m.AgeMS = now.Sub(p.heard).Milliseconds()
+		out = append(out, m)
+	}
+	return out
+}
--- a/internal/modelchoice/modelchoice.go
+++ b/internal/modelchoice/modelchoice.go
@@ -1,63 +1,88 @@
-// Package modelchoice decides which model answers a request: the one whose
-// answer is worth most after what it costs. It is pure.
+// Package modelchoice decides which model answers a request, and whether the
+// answer of a small model is dropped for that of a larger one. It is pure. All
+// values are shares of a request's worth.
 package modelchoice
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// Weights of the choice. A request's worth is 1.
+// Weights of the choice.
 const (
-	// lateWorth is the worth of a good answer that comes after the aim.
+	// lateWorth is the worth of a good answer whose first part comes after the aim.
 	lateWorth = 0.3
-	// outputWeight and inputShare price a run: cost is per 1,000 generated
-	// tokens, tokens read count a quarter.
-	inputShare = 0.25
-	// costPerWorth is what the tokens of a request of average size cost with a
-	// model of price 1, as a share of the request's worth.
-	tokensPerWorth = 12000.0
-	costScale      = 1.0
+	// poorWorth is the worth of an answer that was too hard for its model.
+	poorWorth = 0.05
+	// priceWeight turns a model's price of 1,000 tokens into a share of the worth
+	// of the request that they serve: requests are worth more the longer they are.
+	priceWeight = 1.33
+	// evenConfidence is the confidence at which an answer is as likely good as
+	// not, and confidenceWidth how fast that changes. Models tell good from poor
+	// roughly: measured over the share of requests kept at several thresholds.
+	evenConfidence  = 45.0
+	confidenceWidth = 10.0
+	// unsaidGood is the chance that an answer without an opinion is good.
+	unsaidGood = 0.8
+	// estimateSpread is the part of an estimated time by which it is often off.
+	estimateSpread = 0.6
+	// estimateLeast is the least uncertainty of an estimated time.
+	estimateLeast = 100 * time.Millisecond
+	// loadWeight is what a request that fills the whole aim takes from others.
+	loadWeight = 0.25
 )
 
-// Model is one of the models that may answer, smallest first.
-type Model struct {
-	Name string
-	// Cost is the price of 1,000 generated tokens.
-	Cost float64
-	// Good is the chance that its answer is good enough.
-	Good float64
-	// First is the expected time to its first token.
-	First time.Duration
+// Good is the chance that an answer with a confidence from 0 to 100 is good; a
+// negative confidence stands for none.
+func Good(confidence int) float64 {
+	if confidence < 0 {
+		return unsaidGood
+	}
+	return 1 / (1 + math.Exp((evenConfidence-float64(confidence))/confidenceWidth))
 }
 
-// Task is what is known of a request.
-type Task struct {
-	PromptTokens int
-	OutputTokens int
-	// Left is the time until the aim passes.
-	Left time.Duration
+// OnTime is the chance that something estimated to take expect is over in left.
+func OnTime(expect, left time.Duration) float64 {
+	spread := max(time.Duration(estimateSpread*float64(expect)), estimateLeast)
+	return 1 / (1 + math.Exp(-3*float64(left-expect)/float64(spread)))
 }
 
-// price of a run as a share of a request's worth.
-func (t Task) price(m Model) float64 {
-	tokens := float64(t.PromptTokens)*inputShare + float64(t.OutputTokens)
-	return costScale * m.Cost * tokens / tokensPerWorth
+// Answer is an answer that has begun and could be kept.
+type Answer struct {
+	Confidence int
+	// Left is the time until the aim passes; negative when it has passed.
+	Left time.Duration
 }
 
-// value of running the model now.
-func (t Task) value(m Model) float64 {
+// Value of keeping the answer.
+func (a Answer) Value() float64 {
 	worth := 1.0
-	if m.First > t.Left {
+	if a.Left < 0 {
 		worth = lateWorth
 	}
-	return m.Good*worth - t.price(m)
+	good := Good(a.Confidence)
+	return worth * (good + (1-good)*poorWorth)
 }
 
-// Best returns the index of the model with the highest value.
-func Best(t Task, models []Model) int {
-	best := 0
-	for i := range models {
-		if t.value(models[i]) > t.value(models[best]) {
-			best = i
-		}
-	}
-	return best
+// Offer is a larger model that could answer instead.
+type Offer struct {
+	// Cost is the price of 1,000 generated tokens.
+	Cost float64
+	// Expect is the estimated time to its first token.
+	Expect time.Duration
+	// Left and Aim are the time until the aim passes, and the aim.
+	Left time.Duration
+	Aim  time.Duration
 }
+
+// Value of asking the larger model. The replica time that it takes is missing
+// to others, so that under load the same rule asks it less often: it answers
+// bursts of long prompts with more answers of the small models.
+func (o Offer) Value() float64 {
+	onTime := OnTime(o.Expect, o.Left)
+	load := loadWeight * min(float64(o.Expect)/float64(max(o.Aim, time.Millisecond)), 1)
+	return onTime + (1-onTime)*lateWorth - priceWeight*o.Cost - load
+}
+
+// Escalate reports whether the larger model is worth more.
+func Escalate(a Answer, o Offer) bool { return o.Value() > a.Value() }
