catalog: A watcher that meets dropped history renews the others

Ruled out: late decoding (the version was in force 7 ms after its list). Change: one watch has a wait of 2.4 s; the first to be told that history is gone ends the others' calls.

--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -41,8 +43,34 @@
 	Returned func()
 }
 
+// Group joins the watchers of one store. A watch may go silent when the store
+// drops its history; the first watcher that learns of it renews all others.
+type Group struct {
+	mu       sync.Mutex
+	watchers []*Watcher
+}
+
+// Add makes a watcher part of the group, before it runs.
+func (g *Group) Add(w *Watcher) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w.group = g
+	g.watchers = append(g.watchers, w)
+}
+
+func (g *Group) renewOthers(but *Watcher) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, w := range g.watchers {
+		if w != but {
+			w.renew()
+		}
+	}
+}
+
 // Watcher follows one kind of objects: a list, then watches from its revision.
 type Watcher struct {
+	group  *Group
 	source Source
 	kind   Kind
 	wait   time.Duration
@@ -52,6 +80,9 @@
 	pause    time.Duration
 	revision uint64
 	listed   bool
+
+	mu     sync.Mutex
+	cancel context.CancelFunc // ends the watch call in progress; nil when there is none
 }
 
 // NewWatcher returns a watcher whose calls wait at most wait for a change.
@@ -104,12 +135,20 @@
 }
 
 func (w *Watcher) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, w.wait+watchMargin)
+	call, cancel := context.WithTimeout(ctx, w.wait+watchMargin)
 	defer cancel()
-	changes, at, err := w.source.Watch(ctx, w.kind, w.revision, w.wait)
+	w.setCancel(cancel)
+	changes, at, err := w.source.Watch(call, w.kind, w.revision, w.wait)
+	w.setCancel(nil)
+	if errors.Is(call.Err(), context.Canceled) {
+		return nil // renewed, or the process stops
+	}
 	if result.Is(err, result.PlatformGone) {
 		klog.InfoS("catalog: history gone, listing anew", "kind", w.kind, "revision", w.revision)
 		w.listed = false
+		if w.group != nil {
+			w.group.renewOthers(w)
+		}
 		return nil
 	}
 	if err != nil {
@@ -126,6 +165,22 @@
 	return nil
 }
 
+func (w *Watcher) setCancel(cancel context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancel = cancel
+}
+
+// renew ends the watch call in progress, so that the next one tells whether
+// anything was missed.
+func (w *Watcher) renew() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cancel != nil {
+		w.cancel()
+	}
+}
+
 func (w *Watcher) answered() {
 	if !w.failing.IsZero() {
 		away := time.Since(w.failing)
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -12,11 +12,13 @@
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
 )
 
-// Waits of the watches. A silent connection is found by its keep-alive probes;
-// the waits bound how long a lost answer of the store goes unnoticed.
+// Waits of the watches. A watch may hear nothing when the store drops its
+// history, until its wait ends; then a rule's bound and the stability window
+// leave about 3 s to notice. One watch with a short wait is enough: it renews
+// the others. Each call is paid for.
 const (
-	quickWait = 8 * time.Second
-	slowWait  = 20 * time.Second
+	quickWait = 2400 * time.Millisecond
+	slowWait  = 12 * time.Second
 )
 
 // Follower keeps the service's view of the store.
@@ -46,8 +48,8 @@
 
 // Watchers returns a watcher for each kind.
 func (f *Follower) Watchers() []*catalog.Watcher {
-	return []*catalog.Watcher{
-		catalog.NewWatcher(f.source, catalog.Configurations, quickWait, catalog.Handler{
+	all := []*catalog.Watcher{
+		catalog.NewWatcher(f.source, catalog.Configurations, slowWait, catalog.Handler{
 			Replace: func(l []catalog.Object) { f.each(l, f.configuration) },
 			Apply:   func(c []catalog.Change) { f.changes(c, f.configuration, nil) },
 		}),
@@ -64,6 +66,11 @@
 			Apply:   func(c []catalog.Change) { f.changes(c, f.withdrawn, f.returned) },
 		}),
 	}
+	var group catalog.Group
+	for _, w := range all {
+		group.Add(w)
+	}
+	return all
 }
 
 func (f *Follower) each(list []catalog.Object, take func(catalog.Object)) {
