--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -23,6 +23,8 @@
 	// calls, each of which is paid for.
 	firstPause   = 150 * time.Millisecond
 	longestPause = 1200 * time.Millisecond
+	// freshTime is how long a watch call is taken to be sound after it began.
+	freshTime = 300 * time.Millisecond
 	// awayTime is how long the store has to fail before its return counts as
 	// one after an absence.
 	awayTime = 700 * time.Millisecond
@@ -44,7 +46,7 @@
 }
 
 // Group joins the watchers of one store. A watch may go silent when the store
-// drops its history; the first watcher that learns of it renews all others.
+// drops its history; or is away; the first watcher that learns of it renews all others.
 type Group struct {
 	mu       sync.Mutex
 	watchers []*Watcher
@@ -83,6 +85,7 @@
 
 	mu     sync.Mutex
 	cancel context.CancelFunc // ends the watch call in progress; nil when there is none
+	began  time.Time
 }
 
 // NewWatcher returns a watcher whose calls wait at most wait for a change.
@@ -146,9 +149,7 @@
 	if result.Is(err, result.PlatformGone) {
 		klog.InfoS("catalog: history gone, listing anew", "kind", w.kind, "revision", w.revision)
 		w.listed = false
-		if w.group != nil {
-			w.group.renewOthers(w)
-		}
+		w.renewOthers()
 		return nil
 	}
 	if err != nil {
@@ -169,14 +170,21 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cancel = cancel
+	w.began = time.Now()
+}
+
+func (w *Watcher) renewOthers() {
+	if w.group != nil {
+		w.group.renewOthers(w)
+	}
 }
 
 // renew ends the watch call in progress, so that the next one tells whether
-// anything was missed.
+// anything was missed. A call that has just begun is left alone.
 func (w *Watcher) renew() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.cancel != nil {
+	if w.cancel != nil && time.Since(w.began) > freshTime {
 		w.cancel()
 	}
 }
@@ -188,6 +196,8 @@
 		if away >= awayTime && w.handle.Returned != nil {
 			w.handle.Returned()
 		}
+		// Calls that were sent into the outage are never answered.
+		w.renewOthers()
 	}
 	w.failing = time.Time{}
 	w.pause = 0
