fleet, catalog, canary: Homes for prompts, fewer store calls, sessions kept in the trial

Change: escalation checks the runs; VMs tell each other the trial's sessions on the old version; watches gather changes for a quarter of the bound; prompts have two homes and their reading counts twice.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -5,7 +5,9 @@
 package canary
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,6 +48,13 @@
 	forceAt = 0.88
 	// trialUse is the part of the allowed exposure that the trial uses.
 	trialUse = 0.55
+	// quietTime at the start belongs to the old version: the VMs tell each other
+	// which sessions of the trial's share they have on it.
+	quietTime = 2500 * time.Millisecond
+	// keptMost bounds the sessions that one report tells of.
+	keptMost = 48
+	// tellMost bounds the other VMs whose counters a report passes on.
+	tellMost = 6
 	// drainWait is how long all sessions have to be on the new version before
 	// it may be complete, so that all VMs have come that far.
 	drainWait = 1500 * time.Millisecond
@@ -74,8 +83,10 @@
 	AgeMS int64 `cbor:"3,keyasint"`
 	// Condemned is set for good once a VM has found the version bad.
 	Condemned bool `cbor:"4,keyasint"`
-	// VMs are the counters by VM and incarnation.
+	// VMs are the counters by VM and incarnation; a report holds some of them.
 	VMs map[string]Counters `cbor:"5,keyasint"`
+	// Kept are sessions of the trial's share that run on the old version.
+	Kept []uint32 `cbor:"6,keyasint,omitempty"`
 }
 
 // rollOut is the state of one order.
@@ -84,6 +95,8 @@
 	began     time.Time // own clock, moved back when another VM saw the order earlier
 	condemned bool
 	vms       map[string]Counters
+	kept      map[uint32]bool
+	cursor    int // the VM whose counters were last told on
 }
 
 // Core decides for all services. It is not safe for concurrent use.
@@ -108,7 +121,7 @@
 func (c *Core) SetOrder(now time.Time, o Order) {
 	r := c.orders[o.Service]
 	if r == nil || r.order.Target != o.Target {
-		c.orders[o.Service] = &rollOut{order: o, began: now, vms: map[string]Counters{c.self: newCounters()}}
+		c.orders[o.Service] = &rollOut{order: o, began: now, vms: map[string]Counters{c.self: newCounters()}, kept: make(map[uint32]bool)}
 		return
 	}
 	phase := max(r.order.Phase, o.Phase) // a report is never taken back
@@ -169,7 +182,7 @@
 	switch {
 	case pinned == target:
 		return Rule{First: isNew, Then: isOld, Why: "session on new"}
-	case pinned != "" && trial:
+	case trial && (pinned != "" || r.kept[short(key)] || now.Sub(r.began) < quietTime):
 		return Rule{First: isOld, Why: "session on old"}
 	case fraction(target+key) < share:
 		return Rule{First: isNew, Then: isOld, Why: "new"}
@@ -368,18 +381,49 @@
 		if r.order.Phase != InProgress {
 			continue
 		}
-		vms := make(map[string]Counters, len(r.vms))
-		for name, n := range r.vms {
-			vms[name] = n.clone()
-		}
 		out = append(out, Report{
 			Service: r.order.Service, Target: r.order.Target, AgeMS: now.Sub(r.began).Milliseconds(),
-			Condemned: r.condemned, VMs: vms,
+			Condemned: r.condemned, VMs: c.tell(r), Kept: c.keep(now, r),
 		})
 	}
 	return out
 }
 
+// tell picks the own counters and, in turn, some of those heard of.
+func (c *Core) tell(r *rollOut) map[string]Counters {
+	names := slices.Sorted(maps.Keys(r.vms))
+	out := map[string]Counters{c.self: r.vms[c.self].clone()}
+	for range min(tellMost, len(names)) {
+		r.cursor++
+		name := names[r.cursor%len(names)]
+		out[name] = r.vms[name].clone()
+	}
+	return out
+}
+
+// keep lists sessions that the trial would move but that run on the old version.
+func (c *Core) keep(now time.Time, r *rollOut) []uint32 {
+	if r.age(now) >= trialEnd {
+		return nil
+	}
+	moved := func(session string) bool { return fraction(r.order.Target+session) < c.share(0) }
+	for _, session := range c.sessions.on(now, r.order.Service, moved, func(v string) bool { return v != r.order.Target }) {
+		r.kept[short(session)] = true
+	}
+	all := slices.Sorted(maps.Keys(r.kept))
+	if len(all) <= keptMost {
+		return all
+	}
+	out := make([]uint32, 0, keptMost)
+	for i := range keptMost {
+		out = append(out, all[(r.cursor+i)%len(all)])
+	}
+	return out
+}
+
+// short names a session in few bytes.
+func short(session string) uint32 { return uint32(xxhash.Sum64String(session)) }
+
 func (n Counters) clone() Counters {
 	out := newCounters()
 	out.OldRunning = n.OldRunning
@@ -413,6 +457,9 @@
 	if began := now.Add(-time.Duration(p.AgeMS) * time.Millisecond); began.Before(r.began) {
 		r.began = began
 	}
+	for _, session := range p.Kept {
+		r.kept[session] = true
+	}
 	for name, n := range p.VMs {
 		if name == c.self {
 			continue
--- a/internal/canary/sessions.go
+++ b/internal/canary/sessions.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"strings"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -40,3 +41,18 @@
 func (s *sessions) note(now time.Time, service, session, version string) {
 	s.pins.Add(service+"\x00"+session, pin{version, now})
 }
+
+// on lists the recent sessions of a service that are wanted, by name and version.
+func (s *sessions) on(now time.Time, service string, wanted, version func(string) bool) []string {
+	var out []string
+	for _, key := range s.pins.Keys() {
+		of, session, _ := strings.Cut(key, "\x00")
+		if of != service || !wanted(session) {
+			continue
+		}
+		if p, ok := s.pins.Peek(key); ok && version(p.version) && now.Sub(p.at) <= s.ttl {
+			out = append(out, session)
+		}
+	}
+	return out
+}
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -30,9 +30,14 @@
 	awayTime = 700 * time.Millisecond
 )
 
-// gatherTime lets changes that come together be answered by one call; each
-// call is paid for.
-const gatherTime = 150 * time.Millisecond
+// Pace is how a watcher spends calls, each of which is paid for.
+type Pace struct {
+	// Wait is the longest that one watch call waits for a change.
+	Wait time.Duration
+	// Gather is the pause after a change, so that changes that come together
+	// are answered by one call.
+	Gather time.Duration
+}
 
 // Handler takes what a watcher sees, in order, in the watcher's goroutine.
 type Handler struct {
@@ -75,7 +80,7 @@
 	group  *Group
 	source Source
 	kind   Kind
-	wait   time.Duration
+	pace   Pace
 	handle Handler
 
 	failing  time.Time // since when calls fail; zero when they do not
@@ -88,9 +93,9 @@
 	began  time.Time
 }
 
-// NewWatcher returns a watcher whose calls wait at most wait for a change.
-func NewWatcher(source Source, kind Kind, wait time.Duration, handle Handler) *Watcher {
-	return &Watcher{source: source, kind: kind, wait: wait, handle: handle}
+// NewWatcher returns a watcher of a kind.
+func NewWatcher(source Source, kind Kind, pace Pace, handle Handler) *Watcher {
+	return &Watcher{source: source, kind: kind, pace: pace, handle: handle}
 }
 
 // Run follows the kind until ctx ends.
@@ -138,10 +143,10 @@
 }
 
 func (w *Watcher) watch(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, w.wait+watchMargin)
+	call, cancel := context.WithTimeout(ctx, w.pace.Wait+watchMargin)
 	defer cancel()
 	w.setCancel(cancel)
-	changes, at, err := w.source.Watch(call, w.kind, w.revision, w.wait)
+	changes, at, err := w.source.Watch(call, w.kind, w.revision, w.pace.Wait)
 	w.setCancel(nil)
 	if errors.Is(call.Err(), context.Canceled) {
 		return nil // renewed, or the process stops
@@ -161,7 +166,7 @@
 	}
 	if len(changes) > 0 {
 		w.handle.Apply(changes)
-		pause(ctx, gatherTime)
+		pause(ctx, w.pace.Gather)
 	}
 	return nil
 }
--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -82,7 +82,7 @@
 		budget: retrybudget.New(retrybudget.Config{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: max(b.RetryWindow, time.Second)}),
 		canary: canary.New(startName(self), b.ExposureShare, b.SessionTTL),
 	}
-	return &App{o: o, service: s, follower: NewFollower(s, o.Source, o.Documents), start: start}
+	return &App{o: o, service: s, follower: NewFollower(s, o.Source, o.Documents, b), start: start}
 }
 
 // StoreTransport is the transport of the store's client.
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -10,6 +10,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/canary"
 	"github.com/cranberrypier/cranberrypier/internal/catalog"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
+	"github.com/cranberrypier/cranberrypier/internal/vm"
 )
 
 // Waits of the watches. A watch may hear nothing when the store drops its
@@ -17,15 +18,27 @@
 // leave about 3 s to notice. One watch with a short wait is enough: it renews
 // the others. Each call is paid for.
 const (
-	quickWait = 2400 * time.Millisecond
-	slowWait  = 12 * time.Second
+	// quickShare of the stability window is the short wait.
+	quickShare = 0.8
+	// slowWait is the wait of the other watches; the store allows 30 s.
+	slowWait = 28 * time.Second
+	// gatherShare of a change's bound is the pause after a change.
+	gatherShare = 0.25
+	// leastBound replaces bounds that the settings lack.
+	leastBound = time.Second
 )
 
+// share is a part of a bound.
+func share(part float64, bound time.Duration) time.Duration {
+	return time.Duration(part * float64(max(bound, leastBound)))
+}
+
 // Follower keeps the service's view of the store.
 type Follower struct {
 	service *Service
 	source  catalog.Source
 	docs    Documents
+	bounds  vm.Bounds
 	zones   map[string]bool
 	orders  map[string]orderObject // by object name
 	ready   atomic.Bool
@@ -39,8 +52,8 @@
 }
 
 // NewFollower returns a follower that knows nothing yet.
-func NewFollower(s *Service, source catalog.Source, docs Documents) *Follower {
-	return &Follower{service: s, source: source, docs: docs, zones: make(map[string]bool), orders: make(map[string]orderObject)}
+func NewFollower(s *Service, source catalog.Source, docs Documents, bounds vm.Bounds) *Follower {
+	return &Follower{service: s, source: source, docs: docs, bounds: bounds, zones: make(map[string]bool), orders: make(map[string]orderObject)}
 }
 
 // Ready reports whether the VM knows enough to serve callers.
@@ -48,20 +61,22 @@
 
 // Watchers returns a watcher for each kind.
 func (f *Follower) Watchers() []*catalog.Watcher {
+	quick := catalog.Pace{Wait: share(quickShare, f.bounds.Stability), Gather: share(gatherShare, f.bounds.DrainTimeout)}
+	slow := catalog.Pace{Wait: slowWait, Gather: share(gatherShare, f.bounds.ConfigApply)}
 	all := []*catalog.Watcher{
-		catalog.NewWatcher(f.source, catalog.Configurations, slowWait, catalog.Handler{
+		catalog.NewWatcher(f.source, catalog.Configurations, slow, catalog.Handler{
 			Replace: func(l []catalog.Object) { f.each(l, f.configuration) },
 			Apply:   func(c []catalog.Change) { f.changes(c, f.configuration, nil) },
 		}),
-		catalog.NewWatcher(f.source, catalog.Upstreams, quickWait, catalog.Handler{
+		catalog.NewWatcher(f.source, catalog.Upstreams, quick, catalog.Handler{
 			Replace: f.upstreams, Apply: f.upstreamChanges,
 			Returned: func() { f.service.fleet.StoreReturned(time.Now()) },
 		}),
-		catalog.NewWatcher(f.source, catalog.RollOuts, slowWait, catalog.Handler{
+		catalog.NewWatcher(f.source, catalog.RollOuts, slow, catalog.Handler{
 			Replace: func(l []catalog.Object) { f.each(l, f.rollOut) },
 			Apply:   func(c []catalog.Change) { f.changes(c, f.rollOut, f.rollOutGone) },
 		}),
-		catalog.NewWatcher(f.source, catalog.Withdrawals, slowWait, catalog.Handler{
+		catalog.NewWatcher(f.source, catalog.Withdrawals, slow, catalog.Handler{
 			Replace: f.withdrawals,
 			Apply:   func(c []catalog.Change) { f.changes(c, f.withdrawn, f.returned) },
 		}),
--- a/internal/edge/models.go
+++ b/internal/edge/models.go
@@ -33,7 +33,8 @@
 // escalate reports whether the answer is dropped for that of a larger model.
 // The caller must not have got any of it.
 func (p *modelPlan) escalate(x *run, a *attempt) bool {
-	if p.larger == "" || a.head.Confidence < 0 {
+	const withThis = 1 // the run whose answer would be dropped
+	if p.larger == "" || a.head.Confidence < 0 || x.runs+withThis >= x.req.Route.MaxUpstreams {
 		return false
 	}
 	now := time.Now()
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -24,6 +24,11 @@
 	// uncached at the prompt's home upstream when this VM has not sent it there:
 	// other VMs probably have.
 	homeDiscount = 0.3
+	// secondDiscount is the same at the prompt's second home, where it spills to.
+	secondDiscount = 0.6
+	// readWeight is what reading a prompt takes from the other requests of an
+	// engine, as a multiple of the time that it takes.
+	readWeight = 1.0
 	// failCost is what a failed attempt costs, as a share of the aim.
 	failCost = 1.5
 	// crowded is the busy share of slots above which a plain upstream's waiting
@@ -77,6 +82,9 @@
 // fresh) and upstreams that fail part of their requests while they look well.
 func (c Candidate) Cost(aim time.Duration) float64 {
 	cost := c.Expect() + c.Failures*failCost*float64(aim.Milliseconds())
+	if c.Generates {
+		cost += readWeight * float64(c.Uncached) * c.Pace
+	}
 	if !c.SameZone {
 		cost += zonePenalty
 	}
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -22,7 +22,7 @@
 
 // cold reports whether the upstream has to be spared.
 func (m *member) cold(now time.Time) bool {
-	return now.Before(m.ColdUntil.Add(coldMargin)) || now.Before(m.firstSeen.Add(coldMargin)) || m.failures(now) > failWeight/2
+	return now.Before(m.ColdUntil.Add(coldMargin)) || now.Before(m.firstSeen.Add(coldMargin)) || now.Before(m.downUntil.Add(coldMargin))
 }
 
 // coldShare is how many requests a second this VM may send to a cold upstream.
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -93,10 +93,17 @@
 	if len(eligible) == 0 {
 		return choice{}, reason
 	}
-	home := homeOf(eligible, q.Prompt)
+	home, second := homesOf(eligible, q.Prompt)
 	best := choice{among: len(eligible)}
 	for _, m := range eligible {
-		c := f.candidate(now, q, m, m == home)
+		discount := 1.0
+		switch m {
+		case home:
+			discount = homeDiscount
+		case second:
+			discount = secondDiscount
+		}
+		c := f.candidate(now, q, m, discount)
 		cost := c.Cost(q.Aim)
 		if best.member == nil || cost < best.cost {
 			best.member, best.candidate, best.cost = m, c, cost
@@ -134,14 +141,13 @@
 	return nil, NoneAllowed
 }
 
-// homeOf is the upstream that all VMs agree on for a prompt, by rendezvous
-// hashing, so that its shared parts are read once without any message.
-func homeOf(list []*member, prompt uint64) *member {
+// homesOf are the two upstreams that all VMs agree on for a prompt, by
+// rendezvous hashing, so that its shared parts are read once without any message.
+func homesOf(list []*member, prompt uint64) (home, second *member) {
 	if prompt == 0 {
-		return nil
+		return nil, nil
 	}
-	var home *member
-	var most uint64
+	var most, next uint64
 	var buf [8]byte
 	binary.LittleEndian.PutUint64(buf[:], prompt)
 	for _, m := range list {
@@ -149,14 +155,18 @@
 		d.Reset()
 		_, _ = d.Write(buf[:]) // a hash never fails to write
 		_, _ = d.WriteString(m.ID)
-		if h := d.Sum64(); home == nil || h > most {
+		switch h := d.Sum64(); {
+		case home == nil || h > most:
+			second, next = home, most
 			home, most = m, h
+		case second == nil || h > next:
+			second, next = m, h
 		}
 	}
-	return home
+	return home, second
 }
 
-func (f *Fleet) candidate(now time.Time, q Query, m *member, home bool) Candidate {
+func (f *Fleet) candidate(now time.Time, q Query, m *member, discount float64) Candidate {
 	c := Candidate{
 		Slots: m.Slots, Latency: m.latency, Slow: m.slow, Failures: m.failures(now),
 		SameZone: m.Zone == f.cfg.Zone, Generates: q.Generates, Pace: f.paceOf(q.Model),
@@ -164,12 +174,9 @@
 	inflight, reading := m.fromVMs(now)
 	c.Busy = float64(m.inflight) + max(m.others(now), inflight)
 	c.Reading = m.reading + reading
-	c.Uncached = q.Own + q.Shared
-	switch {
-	case m.remembers(now, cacheKey(q.Prompt, q.Model)):
+	c.Uncached = q.Own + int(discount*float64(q.Shared))
+	if m.remembers(now, cacheKey(q.Prompt, q.Model)) {
 		c.Uncached = q.Own
-	case home:
-		c.Uncached = q.Own + int(homeDiscount*float64(q.Shared))
 	}
 	return c
 }
