edge, fleet: An isolated VM is not ready; homes by prompt and model

Cause: in a zone that was cut off while its upstreams were withdrawn, requests were refused for the whole cut although other zones could serve them; the larger model's home was always the second one, since the first had just been used. Change: a VM that reached no upstream for 0.6 s is not ready until a probe connects; upstreams that could not be reached are tried by first attempts only; each model has homes of its own.

--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -103,6 +103,7 @@
 		background.Go(func() { w.Run(work) })
 	}
 	background.Go(func() { a.follower.Tick(work) })
+	background.Go(func() { a.service.probe(work) })
 	if err := a.gossip(work, &background); err != nil {
 		return err
 	}
@@ -166,7 +167,7 @@
 func (a *App) readiness() http.Handler {
 	r := chi.NewRouter()
 	r.Get(a.o.Documents.ReadinessPath(), func(w http.ResponseWriter, _ *http.Request) {
-		if a.service.stopping.Load() || !a.follower.Ready() {
+		if a.service.stopping.Load() || !a.follower.Ready() || a.service.isolation.now() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -68,6 +68,7 @@
 	a.head = x.s.protocol.DecodeHead(resp, wire)
 	a.fate = a.head.Fate
 	a.firstByte = time.Since(a.began)
+	x.s.isolation.answered()
 	if a.fate == exchange.Answered {
 		x.s.fleet.FirstByte(time.Now(), pick, a.head.Load)
 	}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -60,7 +60,7 @@
 	r := x.req
 	q := fleet.Query{
 		Service: r.Service.Name, Generates: r.Service.Generates, Model: model,
-		Prompt: x.s.promptKey(r), Aim: r.Route.Aim, Exclude: x.tried,
+		Prompt: x.s.promptKey(r), Aim: r.Route.Aim, Exclude: x.tried, Fresh: len(x.tried) == 0,
 		Allow: func(string) bool { return true },
 	}
 	q.Shared, q.Own = promptSizes(r)
@@ -137,6 +137,7 @@
 
 // noUpstream answers a request for which there is no upstream.
 func (x *run) noUpstream(reason fleet.Reason) {
+	x.unserved()
 	if x.runs > 0 {
 		x.refuse(result.New(result.UpstreamFailed, "no other upstream can take the request").WithRun(result.Unknown), string(reason))
 		return
@@ -144,12 +145,20 @@
 	x.refuse(result.New(result.NoUpstream, "no upstream can take the request now").WithRetryAfter(x.s.returnTime(reason)), string(reason))
 }
 
+// unserved notes a request that reached no upstream.
+func (x *run) unserved() {
+	if x.sends == 0 {
+		x.s.isolation.failed(time.Now())
+	}
+}
+
 // failed answers a request whose attempts brought nothing.
 func (x *run) failed(a *attempt) {
 	switch {
 	case x.ctx.Err() != nil && time.Now().Before(x.req.Deadline):
 		x.outcome = "caller_gone"
 	case x.runs == 0:
+		x.unserved()
 		x.refuse(result.New(result.Overloaded, "the upstreams have no room").WithRetryAfter(x.s.returnTime(fleet.AllDown)), a.fate.String())
 	case time.Until(x.req.Deadline) <= 0:
 		x.refuse(result.New(result.DeadlineExceeded, "no answer in time"), a.fate.String())
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -37,6 +37,7 @@
 	metrics   *Metrics
 	config    atomic.Pointer[routing.Config]
 	stopping  atomic.Bool
+	isolation isolation
 
 	mu     sync.Mutex // guards canary
 	canary *canary.Core
@@ -45,7 +46,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &run{s: s, w: w, ctx: r.Context(), req: &exchange.Request{Arrived: time.Now()}}
-	if s.stopping.Load() {
+	if s.stopping.Load() || s.isolation.now() {
 		w.Header().Set("Connection", "close")
 	}
 	if e := x.admit(r); e != nil {
--- a/internal/edge/transport.go
+++ b/internal/edge/transport.go
@@ -12,9 +12,9 @@
 
 // Times of connections. A silent cut shows only by these.
 const (
-	// upstreamDial bounds connecting to an upstream: two lost packets' worth of
-	// the first retransmission in a zone or between zones.
-	upstreamDial = 400 * time.Millisecond
+	// upstreamDial bounds connecting to an upstream: many round trips in a
+	// region, and well below the shortest deadline.
+	upstreamDial = 300 * time.Millisecond
 	// storeDial bounds connecting to the store.
 	storeDial = time.Second
 	// probeIdle, probeEvery and probeCount are the keep-alive probes that find
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -191,6 +191,19 @@
 	return len(f.members)
 }
 
+// Usable lists the addresses of the upstreams that may get requests.
+func (f *Fleet) Usable() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, m := range f.members {
+		if !m.Leaving && !m.misdirected && !f.withdrawn[m.Zone] {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
+
 // Versions lists the versions of a service's upstreams that are not leaving.
 func (f *Fleet) Versions(service string) []string {
 	f.mu.Lock()
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -23,10 +23,23 @@
 	Aim    time.Duration
 	// Exclude names upstreams that were tried already.
 	Exclude []string
+	// Fresh is true for a request's first attempt. Only then is an upstream
+	// tried that could not be reached lately: the others are refused at once.
+	Fresh bool
 	// Allow reports whether a version may get the request.
 	Allow func(version string) bool
 }
 
+// home is what the prompt's homes are chosen by. Each model has its own cache
+// of a prompt and so its own homes: an answer that is dropped for a larger
+// model's must come from elsewhere, and should still find the prompt.
+func (q Query) home() uint64 {
+	if q.Prompt == 0 {
+		return 0
+	}
+	return cacheKey(q.Prompt, q.Model)
+}
+
 // Reason says why no upstream could be picked.
 type Reason string
 
@@ -93,7 +106,7 @@
 	if len(eligible) == 0 {
 		return choice{}, reason
 	}
-	home, second := homesOf(eligible, q.Prompt)
+	home, second := homesOf(eligible, q.home())
 	best := choice{among: len(eligible)}
 	for _, m := range eligible {
 		discount := 1.0
@@ -133,8 +146,10 @@
 	switch {
 	case len(up) > 0:
 		return up, Picked
-	case len(down) > 0:
+	case len(down) > 0 && q.Fresh:
 		return down, Picked
+	case len(down) > 0:
+		return nil, AllDown
 	case cold:
 		return nil, AllCold
 	}
@@ -143,13 +158,13 @@
 
 // homesOf are the two upstreams that all VMs agree on for a prompt, by
 // rendezvous hashing, so that its shared parts are read once without any message.
-func homesOf(list []*member, prompt uint64) (home, second *member) {
-	if prompt == 0 {
+func homesOf(list []*member, key uint64) (home, second *member) {
+	if key == 0 {
 		return nil, nil
 	}
 	var most, next uint64
 	var buf [8]byte
-	binary.LittleEndian.PutUint64(buf[:], prompt)
+	binary.LittleEndian.PutUint64(buf[:], key)
 	for _, m := range list {
 		var d xxhash.Digest
 		d.Reset()
