fleet, modelchoice: Zones out of reach; the larger model pays for the time it takes

Change: two upstreams of a zone out of reach put the zone aside for a short, growing time; the load weight of an escalation rises from 0.25 to 1.2 of its expected time over the aim.

--- a/internal/edge/transport.go
+++ b/internal/edge/transport.go
@@ -14,7 +14,7 @@
 const (
 	// upstreamDial bounds connecting to an upstream: many round trips in a
 	// region, and well below the shortest deadline.
-	upstreamDial = 300 * time.Millisecond
+	upstreamDial = 200 * time.Millisecond
 	// storeDial bounds connecting to the store.
 	storeDial = time.Second
 	// probeIdle, probeEvery and probeCount are the keep-alive probes that find
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,6 +48,7 @@
 	members   map[string]*member
 	byService map[string][]*member
 	withdrawn map[string]bool
+	zones     map[string]*zoneReach
 	vms       []string
 	coldRate  map[string]float64
 	pace      map[string]float64 // ms of first-token time per uncached token, by model
@@ -59,7 +60,7 @@
 func New(cfg Config) *Fleet {
 	return &Fleet{
 		cfg: cfg, members: make(map[string]*member), byService: make(map[string][]*member),
-		withdrawn: make(map[string]bool), coldRate: make(map[string]float64), pace: make(map[string]float64),
+		withdrawn: make(map[string]bool), zones: make(map[string]*zoneReach), coldRate: make(map[string]float64), pace: make(map[string]float64),
 	}
 }
 
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -135,10 +135,10 @@
 			continue
 		}
 		switch {
+		case now.Before(m.downUntil) || !m.lapsed.IsZero() || f.zoneOf(m).suspect(now):
+			down = append(down, m)
 		case f.spared(now, m):
 			cold = true
-		case now.Before(m.downUntil) || !m.lapsed.IsZero():
-			down = append(down, m)
 		default:
 			up = append(up, m)
 		}
@@ -146,7 +146,11 @@
 	switch {
 	case len(up) > 0:
 		return up, Picked
-	case len(down) > 0 && q.Fresh:
+	case len(down) > 0 && q.Fresh && !cold:
+		down = slices.DeleteFunc(down, func(m *member) bool { return f.spared(now, m) })
+		if len(down) == 0 {
+			return nil, AllCold
+		}
 		return down, Picked
 	case len(down) > 0:
 		return nil, AllDown
@@ -239,6 +243,7 @@
 	}
 	p.first = true
 	m.reading -= p.reading
+	f.zoneOf(m).reached()
 	m.downFor = 0
 	m.downUntil = time.Time{}
 	if load != nil {
@@ -311,6 +316,7 @@
 	case EndUnreachable:
 		m.outcome(now, true)
 		m.down(now)
+		f.zoneOf(m).unreachable(now, m.ID)
 	case EndMisdirected:
 		m.misdirected = true
 	}
--- a/internal/modelchoice/modelchoice.go
+++ b/internal/modelchoice/modelchoice.go
@@ -29,7 +29,7 @@
 	// estimateLeast is the least uncertainty of an estimated time.
 	estimateLeast = 100 * time.Millisecond
 	// loadWeight is what a request that fills the whole aim takes from others.
-	loadWeight = 0.25
+	loadWeight = 1.2
 )
 
 // Good is the chance that an answer with a confidence from 0 to 100 is good; a
