--- a/cmd/pier-edge/main.go
+++ b/cmd/pier-edge/main.go
@@ -30,21 +30,24 @@
 	kong.Parse(&line, kong.Name("pier-edge"), kong.Description("Serves callers on an entry VM of the platform."))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP) // the settings that may change are read at the start only
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	out := logs.NewWriter(os.Stdout)
 	logs.Setup(out)
-	err := run(ctx, line)
+	err := run(ctx, line, hup)
 	out.Close()
 	os.Exit(program.Report("pier-edge", err, os.Stderr))
 }
 
 // run builds the container and runs the process.
-func run(ctx context.Context, line options) error {
+func run(ctx context.Context, line options, hup <-chan os.Signal) error {
 	c := dig.New()
 	for _, p := range []any{
 		platform.LoadSettings,
 		edge.NewMetrics,
 		edge.New,
+		func() func() (*vm.Settings, error) { return platform.LoadSettings },
+		func() edge.Reload { return reloads(ctx, hup) },
 		func() edge.Ingress { return platform.Ingress{} },
 		func() edge.Protocol { return platform.Replicas{} },
 		func() edge.Documents { return platform.Documents{} },
@@ -61,3 +64,22 @@
 	}
 	return c.Invoke(func(a *edge.App) error { return a.Run(ctx) })
 }
+
+// reloads passes on the signals that ask for the settings to be read again.
+func reloads(ctx context.Context, hup <-chan os.Signal) edge.Reload {
+	out := make(chan struct{}, 1)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+			}
+			select {
+			case out <- struct{}{}:
+			default: // one is waiting already
+			}
+		}
+	}()
+	return out
+}
--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -54,6 +54,9 @@
 	Documents Documents
 	Source    catalog.Source
 	Metrics   *Metrics
+	// Load reads the settings anew; Reload asks for it. Both may be nil.
+	Load   func() (*vm.Settings, error) `optional:"true"`
+	Reload Reload                       `optional:"true"`
 	// MetricsAddress serves the metrics; empty for none.
 	MetricsAddress string `name:"metrics"`
 }
@@ -79,7 +82,7 @@
 	s := &Service{
 		ingress: o.Ingress, protocol: o.Protocol, upstreams: upstreamTransport(), metrics: o.Metrics,
 		fleet: fleet.New(fleet.Config{
-			VM: o.Settings.Name, Zone: o.Settings.Zone, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack,
+			VM: o.Settings.Name, Zone: o.Settings.Zone, Regions: o.Settings.Regions, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack,
 		}),
 		budget: retrybudget.New(retrybudget.Config{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: max(b.RetryWindow, time.Second)}),
 		canary: canary.New(startName(self), b.ExposureShare, b.SessionTTL),
@@ -129,6 +132,9 @@
 		return err
 	}
 	background.Go(func() { peers.Run(ctx) })
+	if a.o.Load != nil {
+		background.Go(func() { a.follow(ctx, a.o.Reload, a.o.Load, peers.SetSeeds) })
+	}
 	return nil
 }
 
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -63,7 +63,7 @@
 	q := fleet.Query{
 		Service: r.Service.Name, Generates: r.Service.Generates, Model: model,
 		Prompt: x.s.promptKey(r), Aim: r.Route.Aim, Exclude: x.tried, Fresh: len(x.tried) == 0,
-		Allow: func(string) bool { return true },
+		Allow: func(string) bool { return true }, Regions: [][]string{r.Route.Regions, r.TeamRegions},
 	}
 	q.Shared, q.Own = promptSizes(r)
 	return q
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -112,6 +112,7 @@
 		return
 	}
 	x.req.Team = team.Name
+	x.req.TeamRegions = team.Regions
 	if team.HasRank {
 		x.req.Rank = team.Rank
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -38,9 +38,12 @@
 	Body   []byte
 	Team   string
 	// Rank is the urgency, 0 first.
-	Rank    int
-	Route   *routing.Route
-	Service *routing.Service
+	Rank int
+	// TeamRegions are the only regions where the team's requests may run; empty
+	// for all.
+	TeamRegions []string
+	Route       *routing.Route
+	Service     *routing.Service
 	// Session groups requests that belong together; empty for none.
 	Session string
 	Arrived time.Time
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,8 @@
 type Config struct {
 	VM   string
 	Zone string
+	// Regions maps each availability zone to its region.
+	Regions map[string]string
 	// ColdFactor and ColdSlack bound the requests a second to a cold upstream
 	// over all VMs: factor times its tolerated rate plus the slack.
 	ColdFactor float64
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -26,6 +26,8 @@
 	// Fresh is true for a request's first attempt. Only then is an upstream
 	// tried that could not be reached lately: the others are refused at once.
 	Fresh bool
+	// Regions are lists that each bind the upstream's region; empty ones do not.
+	Regions [][]string
 	// Allow reports whether a version may get the request.
 	Allow func(version string) bool
 }
@@ -131,7 +133,8 @@
 	var up, down []*member
 	cold := false
 	for _, m := range list {
-		if m.Leaving || m.misdirected || f.withdrawn[m.Zone] || slices.Contains(q.Exclude, m.ID) || !q.Allow(m.Version) {
+		if m.Leaving || m.misdirected || f.withdrawn[m.Zone] || slices.Contains(q.Exclude, m.ID) ||
+			!f.home(m, q.Regions) || !q.Allow(m.Version) {
 			continue
 		}
 		switch {
@@ -160,6 +163,16 @@
 	return nil, NoneAllowed
 }
 
+// home reports whether the upstream is in a region that all lists allow.
+func (f *Fleet) home(m *member, regions [][]string) bool {
+	for _, list := range regions {
+		if len(list) > 0 && !slices.Contains(list, f.cfg.Regions[m.Zone]) {
+			return false
+		}
+	}
+	return true
+}
+
 // homesOf are the two upstreams that all VMs agree on for a prompt, by
 // rendezvous hashing, so that its shared parts are read once without any message.
 func homesOf(list []*member, key uint64) (home, second *member) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -61,6 +61,9 @@
 	return &Core{self: self, peers: make(map[string]peer), seeds: seeds}
 }
 
+// SetSeeds replaces the seeds.
+func (c *Core) SetSeeds(seeds []string) { c.seeds = seeds }
+
 // Heard takes the membership part of a datagram.
 func (c *Core) Heard(now time.Time, m Message) {
 	from := m.From
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -77,6 +77,13 @@
 	wait.Wait()
 }
 
+// SetSeeds replaces the addresses that are told when they are not known to live.
+func (s *Service) SetSeeds(seeds []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.SetSeeds(seeds)
+}
+
 func (s *Service) receive() {
 	buf := make([]byte, 64<<10)
 	for {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -46,6 +46,8 @@
 	// caller names the model.
 	Models   []string
 	Backends []Backend
+	// Regions are the only regions where its requests may run; empty for all.
+	Regions []string
 }
 
 // Backend is a service and its share of a route's requests.
@@ -76,6 +78,8 @@
 	// Rank takes precedence over the route's when HasRank is true.
 	Rank    int
 	HasRank bool
+	// Regions are the only regions where its requests may run; empty for all.
+	Regions []string
 }
 
 // Config is one version of the configuration. It never changes once built.
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -10,6 +10,8 @@
 	Name   string
 	Zone   string
 	Region string
+	// Regions maps each availability zone to its region.
+	Regions map[string]string
 	// Callers, Readiness and Peers are listen addresses, IP:PORT. Readiness
 	// serves the platform's readiness checks, Peers the other entry VMs.
 	Callers   string
