sitesoak: A randomized soak of real pier-edge processes

Processes behind loopback proxies, stand-ins of store and replicas, callers on kept connections; signals, links, store and replica faults, crashes, leaving replicas, withdrawn zones, configurations and keys in a seeded schedule. Checks: at most once, true refusals, whole answers, requests unchanged, runs within the limit, answers in time, leaving and withdrawn replicas, recovery.

--- /dev/null
+++ b/cmd/pier-soak/main.go
@@ -0,0 +1,52 @@
+// Command pier-soak runs pier-edge processes under random faults and checks
+// what callers and replicas see.
+//
+// Exit codes: 0 every promise was kept, 1 one was broken, 2 wrong command line.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/cranberrypier/cranberrypier/internal/sitesoak"
+)
+
+type options struct {
+	Program  string        `required:"" type:"existingfile" help:"The pier-edge program."`
+	Dir      string        `required:"" type:"path" help:"Folder for settings and logs; logs of failed seeds stay there."`
+	Seed     uint64        `default:"1" help:"First seed."`
+	Seeds    uint64        `default:"1" help:"Number of seeds."`
+	Duration time.Duration `default:"15s" help:"Time of faults in each seed."`
+	VMs      int           `name:"vms" default:"4" help:"Number of entry VMs."`
+	Callers  int           `default:"12" help:"Number of callers."`
+}
+
+func main() {
+	var o options
+	kong.Parse(&o, kong.Name("pier-soak"), kong.Description("Random faults around real processes."))
+	failed := 0
+	for seed := o.Seed; seed < o.Seed+o.Seeds; seed++ {
+		dir := filepath.Join(o.Dir, fmt.Sprintf("seed-%d", seed))
+		r, err := sitesoak.Run(sitesoak.Options{
+			Program: o.Program, Dir: dir, Seed: seed, Duration: o.Duration, VMs: o.VMs, Callers: o.Callers,
+		})
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "pier-soak: seed %d: %v\n", seed, err)
+			os.Exit(1)
+		}
+		r.Print(os.Stdout)
+		if len(r.Faults) > 0 {
+			failed++
+			continue
+		}
+		_ = os.RemoveAll(dir) // nothing to look into
+	}
+	fmt.Printf("%d seeds, %d with a broken promise\n", o.Seeds, failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -24,8 +24,10 @@
 	quickShare = 0.8
 	// slowWait is the wait of the other watches; the store allows 30 s.
 	slowWait = 28 * time.Second
-	// gatherShare of a change's bound is the pause after a change.
-	gatherShare = 0.25
+	// gatherShare of a change's bound is the pause after a change. Upstreams
+	// change all the time in a large fleet, so theirs is longer.
+	gatherShare         = 0.25
+	gatherUpstreamShare = 0.5
 	// leastBound replaces bounds that the settings lack.
 	leastBound = time.Second
 )
@@ -63,7 +65,7 @@
 
 // Watchers returns a watcher for each kind.
 func (f *Follower) Watchers() []*catalog.Watcher {
-	quick := catalog.Pace{Wait: share(quickShare, f.bounds.Stability), Gather: share(gatherShare, f.bounds.DrainTimeout)}
+	quick := catalog.Pace{Wait: share(quickShare, f.bounds.Stability), Gather: share(gatherUpstreamShare, f.bounds.DrainTimeout)}
 	slow := catalog.Pace{Wait: slowWait, Gather: share(gatherShare, f.bounds.ConfigApply)}
 	all := []*catalog.Watcher{
 		catalog.NewWatcher(f.source, catalog.Configurations, slow, catalog.Handler{
