catalog: The return of the store is noticed within 3 s

While the store was away the short watch alternated calls of 3.1 s and pauses of up to 1.2 s; a call that was sent into the outage is never answered, so the return was noticed up to 4.3 s late, and the stability window and the bound leave 3 s. Ruled out: a lost renewal (the others were renewed 20 ms after the first was answered). Change: calls while the store is away wait 0.3 s and pause 0.6 s at most; the other watchers pause up to 5 s and are woken by the first that is answered.

--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -21,10 +21,13 @@
 	listTimeout = 1500 * time.Millisecond
 	// watchMargin is how much longer than it asked for a watch call may take.
 	watchMargin = 700 * time.Millisecond
-	// firstPause and longestPause bound the exponential backoff between failed
-	// calls, each of which is paid for.
-	firstPause   = 150 * time.Millisecond
-	longestPause = 1200 * time.Millisecond
+	// firstPause begins the exponential backoff between failed calls, each of
+	// which is paid for; listPause bounds it while nothing is known yet.
+	firstPause = 150 * time.Millisecond
+	listPause  = 1200 * time.Millisecond
+	// probeWait is the wait of watch calls while the store is away. A call that
+	// was sent into an outage is never answered, so they have to be short.
+	probeWait = 300 * time.Millisecond
 	// freshTime is how long a watch call is taken to be sound after it began.
 	freshTime = 300 * time.Millisecond
 	// awayTime is how long the store has to fail before its return counts as
@@ -39,6 +42,9 @@
 	// Gather is the pause after a change, so that changes that come together
 	// are answered by one call.
 	Gather time.Duration
+	// Backoff is the longest pause between failed calls. Watchers of a group may
+	// leave it to one of them to find out that the store is back.
+	Backoff time.Duration
 }
 
 // Handler takes what a watcher sees, in order, in the watcher's goroutine.
@@ -93,11 +99,13 @@
 	mu     sync.Mutex
 	cancel context.CancelFunc // ends the watch call in progress; nil when there is none
 	began  time.Time
+
+	wake chan struct{} // ends a pause
 }
 
 // NewWatcher returns a watcher of a kind.
 func NewWatcher(source Source, kind Kind, pace Pace, handle Handler) *Watcher {
-	return &Watcher{source: source, kind: kind, pace: pace, handle: handle}
+	return &Watcher{source: source, kind: kind, pace: pace, handle: handle, wake: make(chan struct{}, 1)}
 }
 
 // Run follows the kind until ctx ends.
@@ -116,17 +124,18 @@
 			continue
 		}
 		w.failed(err)
-		pause(ctx, w.pause/2+rand.N(w.pause/2))
+		w.rest(ctx, w.pause/2+rand.N(w.pause/2))
 	}
 }
 
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
+// rest waits for d, the end of ctx, or a renewal.
+func (w *Watcher) rest(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+	case <-w.wake:
 	}
 }
 
@@ -145,10 +154,14 @@
 }
 
 func (w *Watcher) watch(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, w.pace.Wait+watchMargin)
+	wait := w.pace.Wait
+	if !w.failing.IsZero() {
+		wait = probeWait
+	}
+	call, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
 	w.setCancel(cancel)
-	changes, at, err := w.source.Watch(call, w.kind, w.revision, w.pace.Wait)
+	changes, at, err := w.source.Watch(call, w.kind, w.revision, wait)
 	w.setCancel(nil)
 	if errors.Is(call.Err(), context.Canceled) {
 		return nil // renewed, or the process stops
@@ -168,7 +181,7 @@
 	}
 	if len(changes) > 0 {
 		w.handle.Apply(changes)
-		pause(ctx, w.pace.Gather)
+		w.rest(ctx, w.pace.Gather)
 	}
 	return nil
 }
@@ -186,12 +199,19 @@
 	}
 }
 
-// renew ends the watch call in progress, so that the next one tells whether
-// anything was missed. A call that has just begun is left alone.
+// renew ends the watch call or the pause in progress, so that the next call
+// tells whether anything was missed. A call that has just begun is left alone.
 func (w *Watcher) renew() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.cancel != nil && time.Since(w.began) > freshTime {
+	if w.cancel == nil {
+		select {
+		case w.wake <- struct{}{}:
+		default: // one is waiting already
+		}
+		return
+	}
+	if time.Since(w.began) > freshTime {
 		w.cancel()
 	}
 }
@@ -215,5 +235,9 @@
 		w.failing = time.Now()
 		klog.InfoS("catalog: store lost", "kind", w.kind, "revision", w.revision, "err", logs.Err(err))
 	}
-	w.pause = min(max(2*w.pause, firstPause), longestPause)
+	longest := listPause
+	if w.listed {
+		longest = w.pace.Backoff
+	}
+	w.pause = min(max(2*w.pause, firstPause), longest)
 }
--- a/internal/catalog/watcher_test.go
+++ b/internal/catalog/watcher_test.go
@@ -175,8 +175,8 @@
 }
 
 var (
-	quickPace = Pace{Wait: 2400 * time.Millisecond, Gather: 500 * time.Millisecond}
-	slowPace  = Pace{Wait: 28 * time.Second, Gather: 500 * time.Millisecond}
+	quickPace = Pace{Wait: 2400 * time.Millisecond, Gather: 500 * time.Millisecond, Backoff: 600 * time.Millisecond}
+	slowPace  = Pace{Wait: 28 * time.Second, Gather: 500 * time.Millisecond, Backoff: 5 * time.Second}
 )
 
 // start runs a quick and a slow watcher of a store.
@@ -257,6 +257,14 @@
 // Calls that were sent into an outage are never answered. The watcher whose
 // short wait ends first finds the store back and renews the others.
 func TestReturnOfTheStoreRenewsAllWatches(t *testing.T) {
+	// The calls that were under way when the store returned differ by the length
+	// of the outage.
+	for outage := 2 * time.Second; outage < 7*time.Second; outage += 150 * time.Millisecond {
+		t.Run(outage.String(), func(t *testing.T) { returnAfter(t, outage) })
+	}
+}
+
+func returnAfter(t *testing.T, outage time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore()
 		store.put(Configurations, "old")
@@ -265,14 +273,14 @@
 		time.Sleep(20 * time.Second)
 		store.set(func() { store.silent = true })
 		time.Sleep(8 * time.Second) // the slow watch ends its wait here and calls into the silence
-		time.Sleep(3 * time.Second)
+		time.Sleep(outage)
 		begin := time.Now()
 		store.set(func() { store.silent = false })
 		store.put(Configurations, "new")
 		time.Sleep(5 * time.Second)
 		took, ok := slow.after("new", begin)
 		assert.True(t, ok, "the configuration was never heard of")
-		assert.Less(t, took, 3300*time.Millisecond+longestPause)
+		assert.Less(t, took, 3*time.Second, "the stability window and the bound of a configuration leave no more")
 		assert.Positive(t, quick.returned, "the return was not told")
 	})
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -28,6 +28,10 @@
 	// change all the time in a large fleet, so theirs is longer.
 	gatherShare         = 0.25
 	gatherUpstreamShare = 0.5
+	// quickBackoff is the longest pause of the watch that finds out that the
+	// store is back, slowBackoff that of the others.
+	quickBackoff = 600 * time.Millisecond
+	slowBackoff  = 5 * time.Second
 	// leastBound replaces bounds that the settings lack.
 	leastBound = time.Second
 )
@@ -65,8 +69,8 @@
 
 // Watchers returns a watcher for each kind.
 func (f *Follower) Watchers() []*catalog.Watcher {
-	quick := catalog.Pace{Wait: share(quickShare, f.bounds.Stability), Gather: share(gatherUpstreamShare, f.bounds.DrainTimeout)}
-	slow := catalog.Pace{Wait: slowWait, Gather: share(gatherShare, f.bounds.ConfigApply)}
+	quick := catalog.Pace{Wait: share(quickShare, f.bounds.Stability), Gather: share(gatherUpstreamShare, f.bounds.DrainTimeout), Backoff: quickBackoff}
+	slow := catalog.Pace{Wait: slowWait, Gather: share(gatherShare, f.bounds.ConfigApply), Backoff: slowBackoff}
 	all := []*catalog.Watcher{
 		catalog.NewWatcher(f.source, catalog.Configurations, slow, catalog.Handler{
 			Replace: func(l []catalog.Object) { f.each(l, f.configuration) },
