--- a/internal/edge/models.go
+++ b/internal/edge/models.go
@@ -39,13 +39,14 @@
 	}
 	now := time.Now()
 	left := x.req.Arrived.Add(x.req.Route.Aim).Sub(now)
-	expect, ok := x.s.fleet.Estimate(now, x.query(p.larger))
+	outlook, ok := x.s.fleet.Estimate(now, x.query(p.larger))
 	if !ok {
 		return false
 	}
 	answer := modelchoice.Answer{Confidence: a.head.Confidence, Left: left}
 	offer := modelchoice.Offer{
-		Cost: x.req.Service.Costs[p.larger], Expect: expect, Left: left, Aim: x.req.Route.Aim,
+		Cost: x.req.Service.Costs[p.larger], Expect: outlook.Expect, Backlog: outlook.Backlog,
+		Left: left, Aim: x.req.Route.Aim,
 	}
 	if !modelchoice.Escalate(answer, offer) {
 		return false
@@ -55,7 +56,7 @@
 		return false
 	}
 	klog.InfoS("model: larger", "request", x.req.ID, "from", p.model, "to", p.larger, "confidence", a.head.Confidence,
-		"keep", answer.Value(), "ask", offer.Value(), "expect", expect.Milliseconds(), "left", left.Milliseconds())
+		"keep", answer.Value(), "ask", offer.Value(), "expect", outlook.Expect.Milliseconds(), "backlog", outlook.Backlog.Milliseconds(), "left", left.Milliseconds())
 	p.model, p.larger = p.larger, ""
 	return true
 }
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -82,21 +82,33 @@
 	return f.take(now, q, c), Picked
 }
 
-// Estimate is the expected time to the first byte if a request came now; false
-// when there is no upstream for it.
-func (f *Fleet) Estimate(now time.Time, q Query) (time.Duration, bool) {
+// Outlook is what a request may expect if it came now.
+type Outlook struct {
+	// Expect is the time to the first byte at the best upstream.
+	Expect time.Duration
+	// Backlog is the time of the prompts that wait to be read, as a mean over
+	// the upstreams.
+	Backlog time.Duration
+}
+
+// Estimate returns the outlook of a request; false when there is no upstream
+// for it.
+func (f *Fleet) Estimate(now time.Time, q Query) (Outlook, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c, _ := f.choose(now, q)
-	return time.Duration(c.candidate.Expect() * float64(time.Millisecond)), c.member != nil
+	return Outlook{Expect: inMillis(c.candidate.Expect()), Backlog: inMillis(c.backlog)}, c.member != nil
 }
 
+func inMillis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // choice is the upstream with the least cost.
 type choice struct {
 	member    *member
 	candidate Candidate
 	cost      float64
 	among     int
+	backlog   float64 // mean reading over the eligible, in ms
 }
 
 func (f *Fleet) choose(now time.Time, q Query) (choice, Reason) {
@@ -119,6 +131,7 @@
 			discount = secondDiscount
 		}
 		c := f.candidate(now, q, m, discount)
+		best.backlog += c.Reading / float64(len(eligible))
 		cost := c.Cost(q.Aim)
 		if best.member == nil || cost < best.cost {
 			best.member, best.candidate, best.cost = m, c, cost
@@ -228,7 +241,7 @@
 	m, c := best.member, best.candidate
 	p := &Pick{
 		Upstream: m.Upstream, Cost: best.cost, Candidates: best.among, Uncached: c.Uncached,
-		Expect: time.Duration(c.Expect() * float64(time.Millisecond)), model: q.Model, began: now,
+		Expect: inMillis(c.Expect()), model: q.Model, began: now,
 	}
 	if q.Generates {
 		p.pending = c.Uncached + tokenFloor
--- a/internal/modelchoice/modelchoice.go
+++ b/internal/modelchoice/modelchoice.go
@@ -28,8 +28,13 @@
 	estimateSpread = 0.6
 	// estimateLeast is the least uncertainty of an estimated time.
 	estimateLeast = 100 * time.Millisecond
-	// loadWeight is what a request that fills the whole aim takes from others.
+	// loadWeight is what a request that fills the whole aim takes from others
+	// when the replicas are busy; idleLoad is the share of that which it takes
+	// when they are idle.
 	loadWeight = 1.2
+	idleLoad   = 0.15
+	// fullBacklog is the mean backlog at which the replicas count as busy.
+	fullBacklog = 600 * time.Millisecond
 )
 
 // Good is the chance that an answer with a confidence from 0 to 100 is good; a
@@ -70,6 +75,8 @@
 	Cost float64
 	// Expect is the estimated time to its first token.
 	Expect time.Duration
+	// Backlog is the reading that waits at the replicas, as a mean.
+	Backlog time.Duration
 	// Left and Aim are the time until the aim passes, and the aim.
 	Left time.Duration
 	Aim  time.Duration
@@ -80,7 +87,8 @@
 // bursts of long prompts with more answers of the small models.
 func (o Offer) Value() float64 {
 	onTime := OnTime(o.Expect, o.Left)
-	load := loadWeight * min(float64(o.Expect)/float64(max(o.Aim, time.Millisecond)), 1)
+	busy := min(idleLoad+float64(o.Backlog)/float64(fullBacklog), 1)
+	load := loadWeight * busy * min(float64(o.Expect)/float64(max(o.Aim, time.Millisecond)), 1)
 	return onTime + (1-onTime)*lateWorth - priceWeight*o.Cost - load
 }
 
--- a/internal/modelchoice/modelchoice_test.go
+++ b/internal/modelchoice/modelchoice_test.go
@@ -11,7 +11,7 @@
 const aim = 2 * time.Second
 
 func offer(expect time.Duration) Offer {
-	return Offer{Cost: 0.12, Expect: expect, Left: aim - 200*time.Millisecond, Aim: aim}
+	return Offer{Cost: 0.12, Expect: expect, Backlog: expect / 4, Left: aim - 200*time.Millisecond, Aim: aim}
 }
 
 func TestEscalate(t *testing.T) {
