edge, poison: Requests that crash upstreams are stopped; state from other VMs while the store is away

Change: a broken connection of an incarnation that is no longer listed counts as a crash under the request's fingerprint; VMs tell each other; after three the request is not sent on. A VM that the store turns away for 4 s asks a live VM for configuration, upstreams, roll-outs and withdrawn zones. TestOneFaultyReplica failed once while the soak ran beside it: a VM never got ready. Test addresses came from the range of outgoing connections and were looked at for TCP only; they now come from below it, and a VM that ends says why.

--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -63,6 +63,24 @@
 type Group struct {
 	mu       sync.Mutex
 	watchers []*Watcher
+	answered time.Time // the store's latest answer to any of them
+}
+
+// Away is how long the store has answered no watcher, from the group's first
+// call on.
+func (g *Group) Away(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.answered.IsZero() {
+		g.answered = now
+	}
+	return now.Sub(g.answered)
+}
+
+func (g *Group) sound() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.answered = time.Now()
 }
 
 // Add makes a watcher part of the group, before it runs.
@@ -217,6 +235,9 @@
 }
 
 func (w *Watcher) answered() {
+	if w.group != nil {
+		w.group.sound()
+	}
 	if !w.failing.IsZero() {
 		away := time.Since(w.failing)
 		klog.InfoS("catalog: store regained", "kind", w.kind, "away", away)
--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -23,6 +23,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/catalog"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
 	"github.com/cranberrypier/cranberrypier/internal/gossip"
+	"github.com/cranberrypier/cranberrypier/internal/poison"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/cranberrypier/cranberrypier/internal/retrybudget"
 	"github.com/cranberrypier/cranberrypier/internal/vm"
@@ -86,6 +87,7 @@
 		}),
 		budget: retrybudget.New(retrybudget.Config{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: max(b.RetryWindow, time.Second)}),
 		canary: canary.New(startName(self), b.ExposureShare, b.SessionTTL),
+		poison: poison.New(),
 	}
 	return &App{o: o, service: s, follower: NewFollower(s, o.Source, o.Documents, b), start: start}
 }
@@ -104,12 +106,13 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var background sync.WaitGroup
-	for _, w := range a.follower.Watchers() {
+	var group catalog.Group
+	for _, w := range a.follower.Watchers(&group) {
 		background.Go(func() { w.Run(work) })
 	}
 	background.Go(func() { a.follower.Tick(work) })
 	background.Go(func() { a.service.probe(work) })
-	if err := a.gossip(work, &background); err != nil {
+	if err := a.gossip(work, &background, &group); err != nil {
 		return err
 	}
 	err := a.serve(ctx)
@@ -120,7 +123,7 @@
 }
 
 // gossip keeps in touch with the other VMs.
-func (a *App) gossip(ctx context.Context, background *sync.WaitGroup) error {
+func (a *App) gossip(ctx context.Context, background *sync.WaitGroup, group *catalog.Group) error {
 	set := a.o.Settings
 	if set.Peers == "" {
 		klog.InfoS("gossip: no address for peers, this VM stands alone")
@@ -132,12 +135,32 @@
 		return err
 	}
 	background.Go(func() { peers.Run(ctx) })
+	background.Go(func() { a.follower.askPeers(ctx, group, peers.Addresses) })
+	if err := a.serveState(ctx); err != nil {
+		return err
+	}
 	if a.o.Load != nil {
 		background.Go(func() { a.follow(ctx, a.o.Reload, a.o.Load, peers.SetSeeds) })
 	}
 	return nil
 }
 
+// serveState tells other VMs what this one has from the store, until ctx ends.
+func (a *App) serveState(ctx context.Context) error {
+	listener, err := listen(ctx, a.o.Settings.Peers)
+	if err != nil {
+		return trace.Wrap(result.New(result.AddressInUse, "cannot listen on %s: %v", a.o.Settings.Peers, err))
+	}
+	server := &http.Server{Handler: a.follower.stateHandler(), ReadHeaderTimeout: headerTime}
+	context.AfterFunc(ctx, func() { _ = server.Close() }) // other VMs ask again elsewhere
+	go func() {
+		if err := ended(server.Serve(listener)); err != nil {
+			klog.InfoS("peers: state no longer served", "err", logs.Err(err))
+		}
+	}()
+	return nil
+}
+
 // serve runs the listeners until they are stopped.
 func (a *App) serve(ctx context.Context) error {
 	front := &http.Server{
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -37,6 +37,9 @@
 	// firstByte is the time from the send to the head of the answer.
 	firstByte time.Duration
 
+	// crashed is true when the upstream broke the connection, not this VM.
+	crashed bool
+
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	ended  bool
@@ -82,12 +85,14 @@
 func (a *attempt) broken(err error) {
 	a.err = err
 	a.fate = exchange.Unknown
+	a.crashed = context.Cause(a.ctx) == nil
 	if cause := context.Cause(a.ctx); cause != nil {
 		a.err = cause
 	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		a.fate = exchange.NotSent
+		a.crashed = false
 	}
 }
 
@@ -95,12 +100,19 @@
 func (a *attempt) readWhole() ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(a.body, answerMost))
 	if err != nil {
-		if cause := context.Cause(a.ctx); cause != nil {
-			err = cause
-		}
-		a.err = err
+		a.cut(err)
+	}
+	return body, a.err
+}
+
+// cut notes an answer that broke off.
+func (a *attempt) cut(err error) {
+	a.err = err
+	a.crashed = true
+	if cause := context.Cause(a.ctx); cause != nil {
+		a.err = cause
+		a.crashed = false
 	}
-	return body, err
 }
 
 // end releases the attempt: its connection is closed, its place at the
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,8 +50,11 @@
 	bounds  vm.Bounds
 	zones   map[string]bool
 	orders  map[string]orderObject // by object name
-	ready   atomic.Bool
 	known   struct{ config, upstreams atomic.Bool }
+	book    *stateBook
+	// handlers take the store's and other VMs' word on each kind, one at a time.
+	handlers map[catalog.Kind]catalog.Handler
+	taking   sync.Mutex
 }
 
 // orderObject is a roll-out's object as last seen.
@@ -61,41 +65,67 @@
 
 // NewFollower returns a follower that knows nothing yet.
 func NewFollower(s *Service, source catalog.Source, docs Documents, bounds vm.Bounds) *Follower {
-	return &Follower{service: s, source: source, docs: docs, bounds: bounds, zones: make(map[string]bool), orders: make(map[string]orderObject)}
+	return &Follower{service: s, source: source, docs: docs, bounds: bounds, book: newStateBook(), zones: make(map[string]bool), orders: make(map[string]orderObject)}
 }
 
 // Ready reports whether the VM knows enough to serve callers.
 func (f *Follower) Ready() bool { return f.known.config.Load() && f.known.upstreams.Load() }
 
-// Watchers returns a watcher for each kind.
-func (f *Follower) Watchers() []*catalog.Watcher {
+// Watchers returns a watcher for each kind, joined by group.
+func (f *Follower) Watchers(group *catalog.Group) []*catalog.Watcher {
 	quick := catalog.Pace{Wait: share(quickShare, f.bounds.Stability), Gather: share(gatherUpstreamShare, f.bounds.DrainTimeout), Backoff: quickBackoff}
 	slow := catalog.Pace{Wait: slowWait, Gather: share(gatherShare, f.bounds.ConfigApply), Backoff: slowBackoff}
-	all := []*catalog.Watcher{
-		catalog.NewWatcher(f.source, catalog.Configurations, slow, catalog.Handler{
+	f.handlers = map[catalog.Kind]catalog.Handler{
+		catalog.Configurations: f.recorded(catalog.Configurations, catalog.Handler{
 			Replace: func(l []catalog.Object) { f.each(l, f.configuration) },
 			Apply:   func(c []catalog.Change) { f.changes(c, f.configuration, nil) },
 		}),
-		catalog.NewWatcher(f.source, catalog.Upstreams, quick, catalog.Handler{
+		catalog.Upstreams: f.recorded(catalog.Upstreams, catalog.Handler{
 			Replace: f.upstreams, Apply: f.upstreamChanges,
 			Returned: func() { f.service.fleet.StoreReturned(time.Now()) },
 		}),
-		catalog.NewWatcher(f.source, catalog.RollOuts, slow, catalog.Handler{
+		catalog.RollOuts: f.recorded(catalog.RollOuts, catalog.Handler{
 			Replace: func(l []catalog.Object) { f.each(l, f.rollOut) },
 			Apply:   func(c []catalog.Change) { f.changes(c, f.rollOut, f.rollOutGone) },
 		}),
-		catalog.NewWatcher(f.source, catalog.Withdrawals, slow, catalog.Handler{
+		catalog.Withdrawals: f.recorded(catalog.Withdrawals, catalog.Handler{
 			Replace: f.withdrawals,
 			Apply:   func(c []catalog.Change) { f.changes(c, f.withdrawn, f.returned) },
 		}),
 	}
-	var group catalog.Group
-	for _, w := range all {
+	var all []*catalog.Watcher
+	for kind, handle := range f.handlers {
+		pace := slow
+		if kind == catalog.Upstreams {
+			pace = quick
+		}
+		w := catalog.NewWatcher(f.source, kind, pace, handle)
 		group.Add(w)
+		all = append(all, w)
 	}
 	return all
 }
 
+// recorded keeps what a handler takes for other VMs, and lets one word at a time
+// be taken: watchers and other VMs speak at once.
+func (f *Follower) recorded(kind catalog.Kind, h catalog.Handler) catalog.Handler {
+	return catalog.Handler{
+		Returned: h.Returned,
+		Replace: func(list []catalog.Object) {
+			f.taking.Lock()
+			defer f.taking.Unlock()
+			f.book.replace(kind, list)
+			h.Replace(list)
+		},
+		Apply: func(changes []catalog.Change) {
+			f.taking.Lock()
+			defer f.taking.Unlock()
+			f.book.apply(kind, changes)
+			h.Apply(changes)
+		},
+	}
+}
+
 func (f *Follower) each(list []catalog.Object, take func(catalog.Object)) {
 	for _, o := range list {
 		take(o)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -5,6 +5,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/canary"
 	"github.com/cranberrypier/cranberrypier/internal/gossip"
+	"github.com/cranberrypier/cranberrypier/internal/poison"
 	"k8s.io/klog/v2"
 )
 
@@ -14,6 +15,7 @@
 		Loads:     s.fleet.Loads,
 		RollOuts:  s.rollOutReports,
 		Config:    s.configVersion,
+		Crashes:   s.crashes,
 		Heard:     s.heard,
 		Changed:   s.vmsChanged,
 		StartName: startName,
@@ -26,14 +28,23 @@
 	return s.canary.Reports(now)
 }
 
+func (s *Service) crashes(now time.Time) []poison.Mark {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison.Tell(now)
+}
+
 // heard takes what another VM tells.
 func (s *Service) heard(now time.Time, m gossip.Message) {
 	s.fleet.Heard(now, m.From.Name, m.Loads)
-	if len(m.RollOuts) == 0 {
+	if len(m.RollOuts) == 0 && len(m.Crashes) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, c := range m.Crashes {
+		s.poison.Add(now, c)
+	}
 	for _, r := range m.RollOuts {
 		if s.canary.Merge(now, r) {
 			klog.InfoS("canary: condemned by another VM", "service", r.Service, "target", r.Target, "from", m.From.Name)
--- /dev/null
+++ b/internal/edge/poison_test.go
@@ -0,0 +1,43 @@
+package edge_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cranberrypier/cranberrypier/internal/fake/platformside"
+)
+
+// A request that crashes each replica that runs it comes again and again: after
+// the third crash it is not sent any more, at any VM, and others are served.
+func TestPoisonRequest(t *testing.T) {
+	s := standard(t)
+	s.startVM("vm-2")
+	for i := range 6 {
+		s.replica(fmt.Sprintf("o%d", 10+i), orders)
+	}
+	time.Sleep(700 * time.Millisecond)
+	send := func(vm int, id, body string) got {
+		s.vms[0], s.vms[vm] = s.vms[vm], s.vms[0]
+		defer func() { s.vms[0], s.vms[vm] = s.vms[vm], s.vms[0] }()
+		return s.do(call{id: id, path: "/once/x", key: key, body: body})
+	}
+	s.each("o", platformside.ReplicaFaults{LoseAnswer: true})
+	for i := range 3 {
+		id := fmt.Sprintf("poison-%d", i)
+		assert.Equal(t, 502, send(0, id, "poison").status)
+		for _, r := range s.runs(id) {
+			s.store.Remove("servers", r.Replica) // the replica crashed
+		}
+		time.Sleep(1300 * time.Millisecond)
+	}
+	s.each("o", platformside.ReplicaFaults{})
+	for vm := range 2 {
+		id := fmt.Sprintf("again-%d", vm)
+		assert.Equal(t, 502, send(vm, id, "poison").status)
+		assert.Empty(t, s.runs(id), "VM %d ran it", vm)
+		assert.Equal(t, 200, send(vm, id+"-other", "other").status)
+	}
+}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -96,6 +96,9 @@
 		Service: x.req.Service.Name, Version: a.pick.Version, Route: x.req.Route.Name,
 		Judged: judged, Bad: judged && (end == fleet.EndFailed || a.late()),
 	})
+	if a.crashed {
+		x.s.mark(a)
+	}
 	x.s.metrics.attempt(x.req, a, end)
 	a.log(end)
 }
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -15,6 +15,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/canary"
 	"github.com/cranberrypier/cranberrypier/internal/exchange"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
+	"github.com/cranberrypier/cranberrypier/internal/poison"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/cranberrypier/cranberrypier/internal/retrybudget"
 	"github.com/cranberrypier/cranberrypier/internal/routing"
@@ -39,8 +40,9 @@
 	stopping  atomic.Bool
 	isolation isolation
 
-	mu     sync.Mutex // guards canary
+	mu     sync.Mutex // guards canary and poison
 	canary *canary.Core
+	poison *poison.Core
 }
 
 // ServeHTTP implements http.Handler.
@@ -91,6 +93,10 @@
 	if err := x.readBody(r, config.MaxBody); err != nil {
 		return err
 	}
+	x.req.Fingerprint = poison.Of(x.req.Target, x.req.Team, x.req.Body)
+	if s.condemned(x.req.Fingerprint) {
+		return result.New(result.UpstreamFailed, "the request crashed the upstreams that ran it").WithRun(result.NotRun).WithRetryAfter(0)
+	}
 	x.req.Service = config.Services[route.Backend(x.affinity())]
 	if x.req.Service == nil {
 		return result.New(result.NoUpstream, "the route has no service")
@@ -200,6 +206,20 @@
 	s.canary.Ended(o)
 }
 
+// condemned reports whether a request crashed several upstreams.
+func (s *Service) condemned(f poison.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison.Condemned(time.Now(), f, s.fleet.Listed)
+}
+
+// mark notes that an upstream broke its connection while it ran a request.
+func (s *Service) mark(a *attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.poison.Add(time.Now(), poison.Mark{Fingerprint: a.run.req.Fingerprint, Upstream: a.pick.ID, Born: a.pick.Born})
+}
+
 // Times after which a refused caller may return.
 const (
 	// coldReturn is about a cold start's rest.
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +15,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/edge"
 	"github.com/cranberrypier/cranberrypier/internal/fake/platformside"
+	"github.com/cranberrypier/cranberrypier/internal/fake/ports"
 	"github.com/cranberrypier/cranberrypier/internal/vm"
 	"github.com/cranberrypier/cranberrypier/platform"
 )
@@ -144,10 +144,10 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	a, err := ports.Free()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return a
 }
 
 // startVM starts an entry VM and waits until it is ready.
@@ -179,7 +179,13 @@
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	e := &entry{settings: set, stop: stop, done: make(chan error, 1)}
-	go func() { e.done <- app.Run(ctx) }()
+	go func() {
+		err := app.Run(ctx)
+		if err != nil {
+			s.t.Errorf("%s ended: %v", name, err)
+		}
+		e.done <- err
+	}()
 	s.t.Cleanup(func() {
 		stop()
 		select {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -142,7 +142,7 @@
 			return f.complete(a, whole)
 		}
 		if err != nil {
-			a.err = err
+			a.cut(err)
 			return streamBroken
 		}
 		if !f.write(whole) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cranberrypier/cranberrypier/internal/poison"
 	"github.com/cranberrypier/cranberrypier/internal/routing"
 )
 
@@ -60,6 +61,8 @@
 	Parts        []Part
 	PromptTokens int
 	OutputTokens int
+	// Fingerprint is the same for each return of the request.
+	Fingerprint poison.Fingerprint
 }
 
 // Attempt is one try of a request at one upstream.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -207,6 +207,14 @@
 	return out
 }
 
+// Listed reports whether an incarnation is listed.
+func (f *Fleet) Listed(id string, born int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[id]
+	return m != nil && m.Born == born
+}
+
 // Versions lists the versions of a service's upstreams that are not leaving.
 func (f *Fleet) Versions(service string) []string {
 	f.mu.Lock()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -12,6 +12,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/canary"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
+	"github.com/cranberrypier/cranberrypier/internal/poison"
 )
 
 // Member is an entry VM as the others know it.
@@ -34,6 +35,8 @@
 	RollOuts []canary.Report `cbor:"4,keyasint,omitempty"`
 	// Config is the version of the configuration that From has in force.
 	Config uint64 `cbor:"5,keyasint,omitempty"`
+	// Crashes are upstreams that broke off while they ran a request.
+	Crashes []poison.Mark `cbor:"6,keyasint,omitempty"`
 }
 
 const (
@@ -52,9 +55,9 @@
 
 // Core is the membership. It is pure and not safe for concurrent use.
 type Core struct {
-	self   Member
-	peers  map[string]peer
-	seeds  []string
+	self  Member
+	peers map[string]peer
+	seeds []string
 	// told and passed are where the turns of targets and of members stand.
 	told, passed int
 	// greet are the addresses of VMs that told of themselves for the first time.
@@ -109,6 +112,18 @@
 	return out
 }
 
+// Addresses lists the addresses of the VMs that are there but this one, sorted.
+func (c *Core) Addresses(now time.Time) []string {
+	var out []string
+	for _, p := range c.peers {
+		if now.Sub(p.heard) < aliveTime {
+			out = append(out, p.Address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Known lists the names of all VMs that may be there, sorted: bounds that are
 // divided between the VMs count also those that have been silent for a while.
 func (c *Core) Known() []string {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/canary"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
+	"github.com/cranberrypier/cranberrypier/internal/poison"
 )
 
 var begin = time.Now()
@@ -129,6 +130,7 @@
 				return []canary.Report{{Service: "s", Target: "v2", AgeMS: 5}}
 			},
 			Config:    func() uint64 { return 7 },
+			Crashes:   func(time.Time) []poison.Mark { return nil },
 			Heard:     func(_ time.Time, m Message) { heard <- m },
 			Changed:   func(_ time.Time, l []string, _ map[string]bool) { live <- l },
 			StartName: func(m Member) string { return m.Name },
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/canary"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
+	"github.com/cranberrypier/cranberrypier/internal/poison"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 )
 
@@ -40,6 +41,7 @@
 	Loads    func(most int) []fleet.Load
 	RollOuts func(now time.Time) []canary.Report
 	Config   func() uint64
+	Crashes  func(now time.Time) []poison.Mark
 	// Heard takes the other VM's part of a datagram.
 	Heard func(now time.Time, m Message)
 	// Changed is told the known VMs and the live starts after each round.
@@ -87,6 +89,13 @@
 	s.core.SetSeeds(seeds)
 }
 
+// Addresses lists the addresses of the live VMs but this one.
+func (s *Service) Addresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Addresses(time.Now())
+}
+
 func (s *Service) receive() {
 	buf := make([]byte, 64<<10)
 	for {
@@ -159,6 +168,7 @@
 	s.sources.Changed(now, known, starts)
 	if members {
 		m.RollOuts = s.sources.RollOuts(now)
+		m.Crashes = s.sources.Crashes(now)
 	}
 	raw := encode(m)
 	for _, t := range targets {
@@ -184,6 +194,8 @@
 		switch {
 		case len(raw) <= datagramMost:
 			return raw
+		case len(m.Crashes) > 0:
+			m.Crashes = m.Crashes[:len(m.Crashes)/2]
 		case len(m.Members) > 0:
 			m.Members = m.Members[:len(m.Members)/2]
 		case len(m.Loads) > 0:
--- a/internal/sitesoak/process.go
+++ b/internal/sitesoak/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -10,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/cranberrypier/cranberrypier/internal/fake/ports"
 )
 
 // entryVM is one pier-edge process and what reaches it.
@@ -56,12 +57,11 @@
 
 // freeAddress finds a loopback port that nobody uses now.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := ports.Free()
 	if err != nil {
 		panic(err) // a machine without loopback ports can't run a soak
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return a
 }
 
 // start starts the process; its output is appended to its log.
