--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -63,6 +63,20 @@
 	}
 }
 
+// The limit of attempts says how many upstreams may be asked, not that a request
+// may run more than once.
+func TestAttemptsDoNotAllowRepeats(t *testing.T) {
+	s := standard(t)
+	s.configure(append(routes(), route{"name": "more", "host": host, "pathPrefix": "/more/", "routeType": "unsafe", "timeoutMs": 1000, "service": orders, "maxAttempts": 3}), key)
+	require.Eventually(t, func() bool { return s.do(call{id: "a", path: "/more/x", key: key}).status == 200 }, 2*time.Second, 10*time.Millisecond)
+	s.each("o", platformside.ReplicaFaults{LoseAnswer: true})
+	assert.Equal(t, 502, s.do(call{id: "b", path: "/more/x", key: key}).status)
+	assert.Len(t, s.runs("b"), 1)
+	s.each("o", platformside.ReplicaFaults{Reject: true})
+	assert.Equal(t, 503, s.do(call{id: "c", path: "/more/x", key: key}).status)
+	assert.Empty(t, s.runs("c"))
+}
+
 // One faulty replica among three must not be seen by callers that may repeat,
 // and soon gets little work.
 func TestOneFaultyReplica(t *testing.T) {
@@ -152,8 +166,8 @@
 	require.Eventually(t, func() bool { return s.do(call{id: "a", path: "/new/x", key: "key-2"}).status == 200 }, 2*time.Second, 10*time.Millisecond)
 	assert.Equal(t, 401, s.do(call{id: "b", path: "/look/x", key: key}).status, "the key was taken away")
 	s.version -= 3
-	s.configure(routes(), key) // the same version again, with other content
-	time.Sleep(100 * time.Millisecond)
+	s.configure(routes(), key)         // the same version again, with other content
+	time.Sleep(800 * time.Millisecond) // longer than changes are gathered
 	assert.Equal(t, 200, s.do(call{id: "c", path: "/new/x", key: "key-2"}).status, "a version is in force once")
 }
 
@@ -169,7 +183,7 @@
 
 func TestLeavingReplicaGetsNothing(t *testing.T) {
 	s := standard(t)
-	s.list("o0", orders, "127.0.0.1:1", map[string]any{"state": "draining"})
+	s.list("o0", orders, s.addresses["o0"], map[string]any{"state": "draining"})
 	s.store.Remove("servers", "o1")
 	time.Sleep(700 * time.Millisecond)
 	before := s.replicas["o0"].Arrived() + s.replicas["o1"].Arrived()
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -22,13 +22,14 @@
 
 // site is a store, some replicas and one or more entry VMs in this process.
 type site struct {
-	t        *testing.T
-	store    *platformside.Store
-	address  string // of the store
-	replicas map[string]*platformside.Replica
-	vms      []*entry
-	version  int
-	grace    time.Duration
+	t         *testing.T
+	store     *platformside.Store
+	address   string // of the store
+	replicas  map[string]*platformside.Replica
+	addresses map[string]string // of the replicas
+	vms       []*entry
+	version   int
+	grace     time.Duration
 }
 
 // entry is one entry VM.
@@ -59,7 +60,7 @@
 
 func newSite(t *testing.T) *site {
 	t.Helper()
-	s := &site{t: t, store: platformside.NewStore(), replicas: make(map[string]*platformside.Replica), grace: 100 * time.Millisecond}
+	s := &site{t: t, store: platformside.NewStore(), replicas: make(map[string]*platformside.Replica), addresses: make(map[string]string), grace: 100 * time.Millisecond}
 	server := httptest.NewServer(s.store.Handler())
 	s.address = strings.TrimPrefix(server.URL, "http://")
 	t.Cleanup(server.CloseClientConnections)
@@ -107,7 +108,8 @@
 	server := httptest.NewServer(p)
 	s.t.Cleanup(server.CloseClientConnections)
 	s.replicas[id] = p
-	s.list(id, service, strings.TrimPrefix(server.URL, "http://"), nil)
+	s.addresses[id] = strings.TrimPrefix(server.URL, "http://")
+	s.list(id, service, s.addresses[id], nil)
 	return p
 }
 
--- a/internal/sitesoak/world.go
+++ b/internal/sitesoak/world.go
@@ -183,7 +183,7 @@
 	w.version += 2
 	routes := []map[string]any{
 		{"name": "chat", "host": host, "pathPrefix": "/chat/", "routeType": "streaming", "timeoutMs": 5000, "targetLatencyMs": 400, "targetGapMs": 300, "service": engineService, "maxAttempts": 3, "resumable": true, "sticky": true, "sizes": []string{"small", "large"}},
-		{"name": "once", "host": host, "pathPrefix": "/once/", "routeType": "unsafe", "timeoutMs": 1500, "targetLatencyMs": 150, "service": orderService, "maxAttempts": 1},
+		{"name": "once", "host": host, "pathPrefix": "/once/", "routeType": "unsafe", "timeoutMs": 1500, "targetLatencyMs": 150, "service": orderService, "maxAttempts": 3},
 		{"name": "look", "host": host, "pathPrefix": "/look/", "routeType": "safe", "timeoutMs": 1500, "targetLatencyMs": 150, "service": orderService, "maxAttempts": 3},
 	}
 	w.store.Put("config", "main", map[string]any{
