edge: An upstream's own failure is kept; callers of a cut VM are told when others can serve them

Change: the failure is kept and passed on when nothing better comes. A VM out of reach of all upstreams tells callers to come back after the time that the platform takes to send them elsewhere.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -63,6 +63,18 @@
 	}
 }
 
+// An upstream's own failure is passed on when no other upstream can do better.
+func TestFailureOfTheOnlyReplicaIsPassedOn(t *testing.T) {
+	s := newSite(t)
+	s.configure(routes(), key)
+	s.replica("o0", orders)
+	s.startVM("vm-1")
+	s.each("o", platformside.ReplicaFaults{Fail: true})
+	g := s.do(call{id: "a", path: "/look/x", key: key})
+	assert.Equal(t, 500, g.status)
+	assert.Equal(t, platformside.Signature("o0", "a", 500, g.body), g.header.Get("X-Response-Signature"))
+}
+
 // The limit of attempts says how many upstreams may be asked, not that a request
 // may run more than once.
 func TestAttemptsDoNotAllowRepeats(t *testing.T) {
--- a/internal/edge/isolation.go
+++ b/internal/edge/isolation.go
@@ -13,7 +13,7 @@
 const (
 	// isolatedAfter is how long every request has to fail for want of an
 	// upstream, and isolatedLeast how many of them.
-	isolatedAfter = 600 * time.Millisecond
+	isolatedAfter = 500 * time.Millisecond
 	isolatedLeast = 3
 	// probeTime is the pause between two probes while isolated.
 	probeTime = 500 * time.Millisecond
@@ -27,6 +27,7 @@
 type isolation struct {
 	mu       sync.Mutex
 	since    time.Time // first request without an upstream after the last answer
+	at       time.Time // when the VM was found isolated
 	unserved int
 	isolated bool
 }
@@ -54,11 +55,22 @@
 	}
 	i.unserved++
 	if !i.isolated && i.unserved >= isolatedLeast && now.Sub(i.since) >= isolatedAfter {
-		i.isolated = true
+		i.isolated, i.at = true, now
 		klog.InfoS("isolation: no upstream in reach", "since", now.Sub(i.since), "unserved", i.unserved)
 	}
 }
 
+// outOfReach reports whether no upstream has answered since some requests
+// reached none, and how long the VM has been isolated.
+func (i *isolation) outOfReach(now time.Time) (time.Duration, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.isolated {
+		return 0, i.unserved >= isolatedLeast
+	}
+	return now.Sub(i.at), true
+}
+
 // now reports whether the VM is isolated.
 func (i *isolation) now() bool {
 	i.mu.Lock()
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -28,6 +28,9 @@
 	// resumeAfter is the last event that the caller has got.
 	resumeAfter string
 
+	// kept is an upstream's own failure, passed on when nothing better comes.
+	kept *answer
+
 	tried []string // upstreams that were sent the request
 	sends int      // attempts that reached an upstream
 	runs  int      // attempts that ran or may have run
@@ -38,6 +41,12 @@
 	first   time.Duration
 }
 
+// answer is a whole answer of an upstream.
+type answer struct {
+	head *exchange.Head
+	body []byte
+}
+
 // gone reports whether the caller has left.
 func (x *run) gone() bool { return x.ctx.Err() != nil && time.Now().Before(x.req.Deadline) }
 
@@ -142,6 +151,9 @@
 
 // noUpstream answers a request for which there is no upstream.
 func (x *run) noUpstream(reason fleet.Reason) {
+	if x.passKept() {
+		return
+	}
 	x.unserved()
 	if x.runs > 0 {
 		x.refuse(result.New(result.UpstreamFailed, "no other upstream can take the request").WithRun(result.Unknown), string(reason))
@@ -162,6 +174,7 @@
 	switch {
 	case x.ctx.Err() != nil && time.Now().Before(x.req.Deadline):
 		x.outcome = "caller_gone"
+	case x.passKept():
 	case x.runs == 0:
 		x.unserved()
 		x.refuse(result.New(result.Overloaded, "the upstreams have no room").WithRetryAfter(x.s.returnTime(fleet.AllDown)), a.fate.String())
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -226,10 +226,16 @@
 	coldReturn = time.Second
 	// busyReturn is the time of a few calls.
 	busyReturn = 300 * time.Millisecond
+	// elsewhereReturn is the time until the platform sends callers to other VMs
+	// once this one is not ready: two checks, a second apart.
+	elsewhereReturn = 2300 * time.Millisecond
 )
 
 // returnTime is when a request that found no upstream may come back.
 func (s *Service) returnTime(reason fleet.Reason) time.Duration {
+	if since, cut := s.isolation.outOfReach(time.Now()); cut {
+		return max(elsewhereReturn-since, busyReturn)
+	}
 	if reason == fleet.AllDown || reason == fleet.NoneAllowed {
 		return busyReturn
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -108,10 +108,15 @@
 		return streamBroken
 	}
 	body, err := a.readWhole()
-	if err != nil || (a.head.Status >= http.StatusInternalServerError && f.mayImprove()) {
+	if err != nil {
+		return streamBroken
+	}
+	got := &answer{head: a.head, body: body}
+	if a.head.Status >= http.StatusInternalServerError && f.mayImprove() {
+		f.kept = got
 		return streamBroken
 	}
-	f.pass(a, body)
+	f.pass(got)
 	return streamDone
 }
 
--- a/internal/edge/whole.go
+++ b/internal/edge/whole.go
@@ -70,11 +70,13 @@
 	if err != nil {
 		return false
 	}
+	got := &answer{head: a.head, body: body}
 	if a.head.Status >= http.StatusInternalServerError && x.mayImprove() {
+		x.kept = got
 		return false
 	}
 	a.end(a.standing())
-	x.pass(a, body)
+	x.pass(got)
 	return true
 }
 
@@ -88,11 +90,20 @@
 	}) == retry.Again && x.s.budget.Left(time.Now(), x.req.Service.Name) >= 1
 }
 
+// passKept passes on a failure that was kept. It reports whether there was one.
+func (x *run) passKept() bool {
+	if x.kept == nil {
+		return false
+	}
+	x.pass(x.kept)
+	return true
+}
+
 // pass writes an upstream's answer to the caller as it is.
-func (x *run) pass(a *attempt, body []byte) {
+func (x *run) pass(a *answer) {
 	h := x.w.Header()
 	copyHeader(h, a.head.Header)
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	x.first = time.Since(x.req.Arrived)
 	x.status = a.head.Status
 	x.outcome = "answered"
@@ -100,7 +111,7 @@
 	if x.req.Method == http.MethodHead {
 		return
 	}
-	if _, err := x.w.Write(body); err != nil {
+	if _, err := x.w.Write(a.body); err != nil {
 		x.outcome = "caller_gone"
 		klog.InfoS("request: answer not delivered", "request", x.req.ID, "err", logs.Err(err))
 	}
