--- a/cmd/pier-edge/main.go
+++ b/cmd/pier-edge/main.go
@@ -34,17 +34,21 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	out := logs.NewWriter(os.Stdout)
 	logs.Setup(out)
-	err := run(ctx, line, hup)
+	err := run(ctx, line, hup, out)
 	out.Close()
 	os.Exit(program.Report("pier-edge", err, os.Stderr))
 }
 
 // run builds the container and runs the process.
-func run(ctx context.Context, line options, hup <-chan os.Signal) error {
+func run(ctx context.Context, line options, hup <-chan os.Signal, out *logs.Writer) error {
 	c := dig.New()
 	for _, p := range []any{
 		platform.LoadSettings,
-		edge.NewMetrics,
+		func() *edge.Metrics {
+			m := edge.NewMetrics()
+			m.CountDropped(out.Dropped)
+			return m
+		},
 		edge.New,
 		func() func() (*vm.Settings, error) { return platform.LoadSettings },
 		func() edge.Reload { return reloads(ctx, hup) },
--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -89,6 +89,7 @@
 		canary: canary.New(startName(self), b.ExposureShare, b.SessionTTL),
 		poison: poison.New(),
 	}
+	o.Metrics.follow(s)
 	return &App{o: o, service: s, follower: NewFollower(s, o.Source, o.Documents, b), start: start}
 }
 
--- a/internal/edge/isolation.go
+++ b/internal/edge/isolation.go
@@ -78,6 +78,14 @@
 	return i.isolated
 }
 
+// gauge is 1 while the VM is isolated.
+func (i *isolation) gauge() float64 {
+	if i.now() {
+		return 1
+	}
+	return 0
+}
+
 // probe connects to some upstreams while the VM is isolated, until ctx ends.
 // Without callers only a probe can tell that the upstreams are back.
 func (s *Service) probe(ctx context.Context) {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -12,6 +12,9 @@
 // routesMost bounds the routes that have a label of their own; the rest share one.
 const routesMost = 32
 
+// servicesMost bounds the services that are told of.
+const servicesMost = 32
+
 // Metrics are the counters and histograms of the request path.
 type Metrics struct {
 	Registry *prometheus.Registry
@@ -56,6 +59,53 @@
 	return m
 }
 
+// follow registers gauges of what the VM believes.
+func (m *Metrics) follow(s *Service) {
+	gauges := map[string]struct {
+		help string
+		read func() float64
+	}{
+		"pier_config_version": {"Version of the configuration in force.", func() float64 { return float64(s.configVersion()) }},
+		"pier_upstreams":      {"Upstreams that are listed.", func() float64 { return float64(s.fleet.Len()) }},
+		"pier_known_vms":      {"Entry VMs that share the fleet-wide bounds.", func() float64 { return float64(s.fleet.VMs()) }},
+		"pier_isolated":       {"1 while no upstream is in reach.", s.isolation.gauge},
+	}
+	for name, g := range gauges {
+		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: g.help}, g.read))
+	}
+	m.Registry.MustRegister(budgetCollector{s})
+}
+
+// budgetCollector tells what is left of the retry budget of each service.
+type budgetCollector struct{ s *Service }
+
+var budgetDesc = prometheus.NewDesc("pier_retry_budget_left", "Repeats that are left to this VM by service.", []string{"service"}, nil)
+
+// Describe implements prometheus.Collector.
+func (c budgetCollector) Describe(out chan<- *prometheus.Desc) { out <- budgetDesc }
+
+// Collect implements prometheus.Collector.
+func (c budgetCollector) Collect(out chan<- prometheus.Metric) {
+	config := c.s.config.Load()
+	if config == nil {
+		return
+	}
+	n := 0
+	for name := range config.Services {
+		if n++; n > servicesMost {
+			return
+		}
+		out <- prometheus.MustNewConstMetric(budgetDesc, prometheus.GaugeValue, c.s.budget.Left(time.Now(), name), name)
+	}
+}
+
+// CountDropped registers the count of log lines that were dropped.
+func (m *Metrics) CountDropped(dropped func() uint64) {
+	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "pier_log_lines_dropped_total", Help: "Log lines that the reader did not take in time.",
+	}, func() float64 { return float64(dropped()) }))
+}
+
 func (m *Metrics) request(route, outcome string, first, took time.Duration) {
 	route = m.routes.bound(route)
 	m.requests.WithLabelValues(route, outcome).Inc()
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -30,6 +30,7 @@
 	vms       []*entry
 	version   int
 	grace     time.Duration
+	metrics   string // address; empty for none
 }
 
 // entry is one entry VM.
@@ -39,6 +40,12 @@
 	done     chan error
 }
 
+// Waits for what takes effect soon.
+const (
+	waitTime = 3 * time.Second
+	waitStep = 20 * time.Millisecond
+)
+
 const (
 	host   = "one.example"
 	key    = "key-1"
@@ -177,7 +184,7 @@
 	metrics := edge.NewMetrics()
 	app := edge.New(edge.Options{
 		Settings: set, Ingress: platform.Ingress{}, Protocol: platform.Replicas{}, Documents: platform.Documents{},
-		Source: platform.NewObjects(s.address, edge.StoreTransport(), metrics.StoreCall), Metrics: metrics,
+		Source: platform.NewObjects(s.address, edge.StoreTransport(), metrics.StoreCall), Metrics: metrics, MetricsAddress: s.metrics,
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	e := &entry{settings: set, stop: stop, done: make(chan error, 1)}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -187,6 +187,13 @@
 	}
 }
 
+// VMs counts the entry VMs that share the fleet-wide bounds, this one among them.
+func (f *Fleet) VMs() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.vms)
+}
+
 // Len counts the upstreams.
 func (f *Fleet) Len() int {
 	f.mu.Lock()
