--- a/cmd/pier-edge/main.go
+++ b/cmd/pier-edge/main.go
@@ -29,13 +29,13 @@
 	var line options
 	kong.Parse(&line, kong.Name("pier-edge"), kong.Description("Serves callers on an entry VM of the platform."))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	out := logs.NewWriter(os.Stdout)
 	logs.Setup(out)
 	err := run(ctx, line, hup, out)
 	out.Close()
+	stop()
 	os.Exit(program.Report("pier-edge", err, os.Stderr))
 }
 
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -64,7 +64,7 @@
 		timer := time.AfterFunc(patience, func() { a.cancel(errSilent) })
 		defer timer.Stop()
 	}
-	resp, err := x.s.upstreams.RoundTrip(req)
+	resp, err := x.s.upstreams.RoundTrip(req) //nolint:bodyclose // closed by end
 	if err != nil {
 		a.broken(err)
 		return a
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -109,7 +109,7 @@
 }
 
 // replica starts a replica and lists it.
-func (s *site) replica(id, service string) *platformside.Replica {
+func (s *site) replica(id, service string) {
 	s.t.Helper()
 	p := platformside.NewReplica(id)
 	server := httptest.NewServer(p)
@@ -117,7 +117,6 @@
 	s.replicas[id] = p
 	s.addresses[id] = strings.TrimPrefix(server.URL, "http://")
 	s.list(id, service, s.addresses[id], nil)
-	return p
 }
 
 // list writes a replica's entry.
@@ -160,11 +159,10 @@
 }
 
 // startVM starts an entry VM and waits until it is ready.
-func (s *site) startVM(name string) *entry {
+func (s *site) startVM(name string) {
 	s.t.Helper()
 	e := s.launchVM(name)
 	require.Eventually(s.t, func() bool { return e.ready() }, 5*time.Second, 5*time.Millisecond, "not ready")
-	return e
 }
 
 func (s *site) launchVM(name string) *entry {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -64,7 +64,8 @@
 
 func TestCutLog(t *testing.T) {
 	var out strings.Builder
-	require.NoError(t, storyOf(t, log[:strings.Index(log, `"request: refused"`)], "r1").Print(&out))
+	begin, _, _ := strings.Cut(log, `"request: refused"`)
+	require.NoError(t, storyOf(t, begin, "r1").Print(&out))
 	assert.Contains(t, out.String(), "the process ended, or its log")
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -207,7 +207,7 @@
 	defer f.mu.Unlock()
 	var out []string
 	for _, m := range f.members {
-		if !m.Leaving && !m.misdirected && !f.withdrawn[m.Zone] {
+		if f.usable(m) {
 			out = append(out, m.Address)
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -173,9 +173,9 @@
 	assert.Equal(t, AllDown, reason)
 }
 
-func promptQuery(prompt uint64, model string) Query {
+func promptQuery(prompt uint64) Query {
 	q := query()
-	q.Generates, q.Model, q.Prompt, q.Shared, q.Own = true, model, prompt, 13000, 1000
+	q.Generates, q.Model, q.Prompt, q.Shared, q.Own = true, "m", prompt, 13000, 1000
 	return q
 }
 
@@ -183,7 +183,7 @@
 func TestPromptsHaveTheSameHomeOnAllVMs(t *testing.T) {
 	a, b := newFleet("vm-a", 9), newFleet("vm-b", 9)
 	for prompt := uint64(1); prompt < 200; prompt++ {
-		q := promptQuery(prompt, "m")
+		q := promptQuery(prompt)
 		pa, pb := mustPick(t, a, begin, q), mustPick(t, b, begin, q)
 		assert.Equal(t, pa.ID, pb.ID)
 		a.Done(begin, pa, EndNeutral)
@@ -196,7 +196,7 @@
 	f := newFleet("vm", 9)
 	got := make(map[string]int)
 	for range 60 {
-		p := mustPick(t, f, begin, promptQuery(7, "m"))
+		p := mustPick(t, f, begin, promptQuery(7))
 		got[p.ID]++
 	}
 	for id, n := range got {
@@ -207,13 +207,13 @@
 
 func TestLoadOfOtherVMsCounts(t *testing.T) {
 	f := newFleet("vm", 9)
-	home := mustPick(t, f, begin, promptQuery(7, "m"))
+	home := mustPick(t, f, begin, promptQuery(7))
 	f.Done(begin, home, EndNeutral)
 	f.Heard(begin, "other", []Load{{Upstream: home.ID, Inflight: 3, Reading: 4000}})
-	p := mustPick(t, f, begin, promptQuery(7, "m"))
+	p := mustPick(t, f, begin, promptQuery(7))
 	assert.NotEqual(t, home.ID, p.ID)
 	f.Done(begin, p, EndNeutral)
-	assert.Equal(t, home.ID, mustPick(t, f, at(3*time.Second), promptQuery(7, "m")).ID, "old news do not count")
+	assert.Equal(t, home.ID, mustPick(t, f, at(3*time.Second), promptQuery(7)).ID, "old news do not count")
 }
 
 func TestCountsReturnToZero(t *testing.T) {
@@ -230,7 +230,7 @@
 			open = append(open[:i], open[i+1:]...)
 			continue
 		}
-		open = append(open, mustPick(t, f, begin, promptQuery(rng.Uint64N(9)+1, "m")))
+		open = append(open, mustPick(t, f, begin, promptQuery(rng.Uint64N(9)+1)))
 	}
 	for _, p := range open {
 		f.Done(begin, p, EndNeutral)
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -146,8 +146,7 @@
 	var up, down []*member
 	cold := false
 	for _, m := range list {
-		if m.Leaving || m.misdirected || f.withdrawn[m.Zone] || slices.Contains(q.Exclude, m.ID) ||
-			!f.home(m, q.Regions) || !q.Allow(m.Version) {
+		if !f.usable(m) || slices.Contains(q.Exclude, m.ID) || !f.home(m, q.Regions) || !q.Allow(m.Version) {
 			continue
 		}
 		switch {
@@ -176,6 +175,11 @@
 	return nil, NoneAllowed
 }
 
+// usable reports whether an upstream may get any request.
+func (f *Fleet) usable(m *member) bool {
+	return !m.Leaving && !m.misdirected && !f.withdrawn[m.Zone]
+}
+
 // home reports whether the upstream is in a region that all lists allow.
 func (f *Fleet) home(m *member, regions [][]string) bool {
 	for _, list := range regions {
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -36,6 +36,6 @@
 	if err != nil {
 		return trace.Wrap(result.New(result.BadRequest, "cannot open the log: %v", err))
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }() // it was only read
 	return trace.Wrap(explain.Read(f, path, take))
 }
--- a/internal/sitesoak/proxy.go
+++ b/internal/sitesoak/proxy.go
@@ -1,6 +1,7 @@
 package sitesoak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -118,7 +119,7 @@
 			}
 		}
 		if err != nil {
-			if err == io.EOF && !silent {
+			if errors.Is(err, io.EOF) && !silent {
 				if tcp, ok := to.(*net.TCPConn); ok {
 					_ = tcp.CloseWrite() // the other direction may go on
 					return
--- a/internal/sitesoak/schedule.go
+++ b/internal/sitesoak/schedule.go
@@ -33,10 +33,12 @@
 	"revoke":        (*world).revoke,
 }
 
-// names are the steps in a fixed order, so that a seed means the same schedule.
+// names are the steps in a fixed order, so that a seed means the same schedule;
+// what has many variants stands more often.
 var names = []string{
 	"term", "kill", "pause", "hup", "store_link", "store_fault", "compact", "replica_link", "replica_fault", "crash",
 	"leave", "evacuate", "config", "revoke",
+	"replica_fault", "replica_fault", "replica_fault", "replica_fault", "replica_link", "store_fault",
 }
 
 // schedule plays random steps, some of them over each other, until the end.
@@ -166,14 +168,12 @@
 	r := w.anyReplica(rng)
 	l, how := randomLink(rng)
 	w.note("%s: %s", r.place, how)
-	w.replicasDisturbed()
 	r.proxy.set(l)
 	if rng.IntN(2) == 0 {
 		r.proxy.reset()
 	}
 	time.Sleep(lasts)
 	r.proxy.set(link{})
-	w.replicasDisturbed()
 }
 
 func (w *world) replicaFault(rng *rand.Rand, lasts time.Duration) {
@@ -192,20 +192,16 @@
 		{Delay: 500 * time.Millisecond},
 	}[rng.IntN(11)]
 	w.note("%s: %+v", r.place, f)
-	w.replicasDisturbed()
 	r.mu.Lock()
 	p := r.current
 	r.mu.Unlock()
 	p.SetFaults(f)
 	time.Sleep(lasts)
 	p.SetFaults(platformside.ReplicaFaults{})
-	w.replicasDisturbed()
 }
 
 func (w *world) crashOne(rng *rand.Rand, lasts time.Duration) {
-	w.replicasDisturbed()
 	w.crash(w.anyReplica(rng), lasts)
-	w.replicasDisturbed()
 }
 
 // leave makes a replica leave; nothing may reach it after the bound.
--- a/internal/sitesoak/world.go
+++ b/internal/sitesoak/world.go
@@ -84,7 +84,6 @@
 	keys     []string
 	revoked  map[string]time.Time // acknowledged at
 	storeBad time.Time            // the latest fault of the store
-	plan     time.Time            // the latest fault of replicas or links to them
 	events   []string
 	faults   []string // broken promises
 	sent     map[string]*request
@@ -237,12 +236,6 @@
 	w.storeBad = time.Now()
 }
 
-func (w *world) replicasDisturbed() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.plan = time.Now()
-}
-
 // storeCalm reports whether the store has been sound for a while.
 func (w *world) storeCalm(since time.Duration) bool {
 	w.mu.Lock()
@@ -250,12 +243,6 @@
 	return time.Since(w.storeBad) > since
 }
 
-func (w *world) replicasCalm(since time.Duration) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return time.Since(w.plan) > since
-}
-
 func (w *world) close() {
 	for _, v := range w.vms {
 		v.store.close()
