sitesoak: Moved to the stand-ins, which alone know the wire beside platform/

TestWireNamesStayHere failed since the soak was added outside internal/fake. Unused parameters and a few words that a newcomer would stumble over are gone.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO      ?= go
 BIN     := bin
 TOOLS   := $(CURDIR)/$(BIN)/tools
-PROGRAMS := pier-router pier-agent pierctl pier-fake pier-load
+PROGRAMS := pier-router pier-agent pierctl pier-fake pier-load pier-edge pier-soak
 
 .PHONY: build test demo up prove soak mutants lint format check-format unit tools bench
 
@@ -13,10 +13,10 @@
 	cd tools && $(GO) build -o $(TOOLS)/ github.com/golangci/golangci-lint/v2/cmd/golangci-lint mvdan.cc/gofumpt
 
 format: tools
-	$(TOOLS)/gofumpt -w cmd internal
+	$(TOOLS)/gofumpt -w cmd internal platform
 
 check-format: tools
-	@out=$$($(TOOLS)/gofumpt -l cmd internal); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
+	@out=$$($(TOOLS)/gofumpt -l cmd internal platform); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
 
 lint: tools
 	$(TOOLS)/golangci-lint run --timeout 10m ./...
--- a/cmd/pier-soak/main.go
+++ b/cmd/pier-soak/main.go
@@ -12,7 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"github.com/cranberrypier/cranberrypier/internal/sitesoak"
+	"github.com/cranberrypier/cranberrypier/internal/fake/sitesoak"
 )
 
 type options struct {
--- a/internal/catalog/watcher_test.go
+++ b/internal/catalog/watcher_test.go
@@ -14,14 +14,14 @@
 )
 
 // fakeStore is a store with a revision for each change, whose watches can be
-// made deaf and whose calls can be made to hang or fail.
+// made to receive nothing and whose calls can be made to hang or fail.
 type fakeStore struct {
 	mu       sync.Mutex
 	objects  map[Kind]map[string]Object
 	history  []change
 	revision uint64
 	first    uint64 // history before this revision is gone
-	deafened int    // watches that began before this count hear nothing more
+	silenced int    // watches that began before this count receive nothing more
 	silent   bool
 	err      error
 	calls    map[string]int
@@ -91,11 +91,11 @@
 	var began int
 	s.set(func() {
 		s.calls["watch "+string(kind)]++
-		began = s.deafened
+		began = s.silenced
 	})
 	for {
 		s.mu.Lock()
-		silent, err, deaf, wake := s.silent, s.err, s.deafened > began, s.wake
+		down, err, silent, wake := s.silent, s.err, s.silenced > began, s.wake
 		var out []Change
 		for _, c := range s.history {
 			if c.kind == kind && c.revision > after {
@@ -106,14 +106,14 @@
 		at := s.revision
 		s.mu.Unlock()
 		switch {
-		case silent:
+		case down:
 			<-ctx.Done() // the call was sent into the outage and is never answered
 			return nil, 0, result.New(result.PlatformUnavailable, "%v", ctx.Err())
 		case err != nil:
 			return nil, 0, err
-		case gone && !deaf:
+		case gone && !silent:
 			return nil, 0, result.New(result.PlatformGone, "history is gone")
-		case len(out) > 0 && !deaf:
+		case len(out) > 0 && !silent:
 			return out, at, nil
 		}
 		select {
@@ -241,7 +241,7 @@
 		_, slow, stop := start(t, store)
 		defer stop()
 		time.Sleep(1300 * time.Millisecond)
-		store.set(func() { store.deafened++ })
+		store.set(func() { store.silenced++ })
 		store.put(Configurations, "missed")
 		store.put(Upstreams, "missed too")
 		store.set(func() { store.first, store.history = store.revision+1, nil })
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -4,9 +4,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-
-	"github.com/cranberrypier/cranberrypier/internal/exchange"
-	"github.com/cranberrypier/cranberrypier/internal/fleet"
 )
 
 // routesMost bounds the routes that have a label of their own; the rest share one.
@@ -115,7 +112,7 @@
 	}
 }
 
-func (m *Metrics) attempt(_ *exchange.Request, a *attempt, _ fleet.End) {
+func (m *Metrics) attempt(a *attempt) {
 	m.attempts.WithLabelValues(a.model, a.fate.String()).Inc()
 }
 
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -108,7 +108,7 @@
 	if a.crashed {
 		x.s.mark(a)
 	}
-	x.s.metrics.attempt(x.req, a, end)
+	x.s.metrics.attempt(a)
 	a.log(end)
 }
 
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -144,7 +144,7 @@
 			watch.Reset(limit)
 		}
 		if errors.Is(err, io.EOF) {
-			return f.complete(a, whole)
+			return f.complete(whole)
 		}
 		if err != nil {
 			a.cut(err)
@@ -182,7 +182,7 @@
 }
 
 // complete ends a stream that its upstream ended.
-func (f *flow) complete(_ *attempt, rest []byte) progress {
+func (f *flow) complete(rest []byte) progress {
 	if len(rest) > 0 && !f.write(rest) {
 		return streamDone
 	}
--- a/internal/fake/platformside/store.go
+++ b/internal/fake/platformside/store.go
@@ -64,7 +64,7 @@
 	objects  map[string]map[string]Object
 	events   []storeEvent
 	first    uint64 // history up to this revision is gone
-	deafened int
+	silenced int    // watches that began before this count receive nothing more
 	wake     chan struct{}
 	faults   StoreFaults
 	calls    map[string]int
@@ -86,7 +86,7 @@
 func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deafened++
+	s.silenced++
 	s.events = nil
 	s.first = s.revision
 }
@@ -256,21 +256,21 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	s.mu.Lock()
 	s.calls["watch"]++
-	began := s.deafened
+	began := s.silenced
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		deaf, gone, wake, at, silent := s.deafened > began, after < s.first, s.wake, s.revision, s.faults.Silent
+		silent, gone, wake, at, down := s.silenced > began, after < s.first, s.wake, s.revision, s.faults.Silent
 		events := s.since(chi.URLParam(r, "kind"), after)
 		s.mu.Unlock()
 		switch {
-		case silent:
+		case down:
 			<-r.Context().Done()
 			return
-		case gone && !deaf:
+		case gone && !silent:
 			answer(w, http.StatusGone, map[string]any{"error": "history is gone"})
 			return
-		case len(events) > 0 && !deaf:
+		case len(events) > 0 && !silent:
 			answer(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
 		}
--- a/internal/sitesoak/callers.go
+++ b/internal/fake/sitesoak/callers.go
@@ -105,7 +105,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	w.check(ctx, r, v, kind, resp, string(body), err, calm)
+	w.check(r, v, kind, resp, string(body), err, calm)
 	return err == nil && !resp.Close
 }
 
@@ -118,7 +118,7 @@
 }
 
 // check checks what a caller got.
-func (w *world) check(ctx context.Context, r *request, v *entryVM, kind string, resp *http.Response, body string, err error, calm bool) {
+func (w *world) check(r *request, v *entryVM, kind string, resp *http.Response, body string, err error, calm bool) {
 	now := time.Now()
 	w.mu.Lock()
 	r.answered, r.status = now, resp.StatusCode
@@ -145,7 +145,6 @@
 	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") == "":
 		w.broken("%s on %s: refused with no time to come back", r.id, v.name)
 	}
-	_ = ctx
 }
 
 // checkStream checks that a stream is one model's, whole and in order.
--- a/internal/sitesoak/soak_test.go
+++ b/internal/fake/sitesoak/soak_test.go
@@ -15,7 +15,7 @@
 func TestShortSoak(t *testing.T) {
 	dir := t.TempDir()
 	program := filepath.Join(dir, "pier-edge")
-	out, err := exec.Command("go", "build", "-o", program, "../../cmd/pier-edge").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", program, "../../../cmd/pier-edge").CombinedOutput()
 	require.NoError(t, err, string(out))
 	r, err := Run(Options{Program: program, Dir: dir, Seed: 1, Duration: 4 * time.Second, VMs: 3, Callers: 4})
 	require.NoError(t, err)
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -286,12 +286,12 @@
 	}
 	ratio := took / max(float64(p.Expect.Microseconds())/1000, 1)
 	m.slow = min(max(average(m.slow, m.slow*ratio), 0.5), slowLimit)
-	f.pace[p.model] = lowTide(f.paceOf(p.model), took/float64(p.pending))
+	f.pace[p.model] = lowerQuartile(f.paceOf(p.model), took/float64(p.pending))
 }
 
-// lowTide follows the lower samples: a first token that waited for other
+// lowerQuartile moves an estimate towards the first quartile of the samples: a first token that waited for other
 // prompts says little about the reading of its own.
-func lowTide(old, sample float64) float64 {
+func lowerQuartile(old, sample float64) float64 {
 	weight := paceUp
 	if sample < old {
 		weight = paceDown
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -60,8 +60,8 @@
 	seeds []string
 	// told and passed are where the turns of targets and of members stand.
 	told, passed int
-	// greet are the addresses of VMs that told of themselves for the first time.
-	greet []string
+	// joined are the addresses of VMs that were first heard of since the last round.
+	joined []string
 }
 
 // NewCore returns a core that knows only the seeds' addresses.
@@ -79,7 +79,7 @@
 	from := m.From
 	from.AgeMS = 0
 	if _, known := c.peers[from.Name]; !known && from.Name != c.self.Name {
-		c.greet = append(c.greet, from.Address)
+		c.joined = append(c.joined, from.Address)
 	}
 	c.learn(now, from)
 	for _, other := range m.Members {
@@ -163,12 +163,12 @@
 	}
 	slices.Sort(live)
 	out := turn(&c.told, live, most)
-	for _, g := range c.greet {
-		if !slices.Contains(out, g) {
-			out = append(out, g)
+	for _, address := range c.joined {
+		if !slices.Contains(out, address) {
+			out = append(out, address)
 		}
 	}
-	c.greet = nil
+	c.joined = nil
 	for _, s := range c.seeds {
 		if !known[s] {
 			out = append(out, s)
