retrybudget: The slack is divided by the VMs that are known

Cause: the slack was divided by 32 whatever the number of VMs; with 87 or 330 VMs their shares add up to 2.7 or 10 times the slack. Measured: TestFleetStaysWithinTheBound with 87 and 330 VMs failed before, passes now.

--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -14,7 +14,7 @@
 	// ratioUse is the part of the allowed ratio that is used; the rest covers
 	// requests that count in another window than their repeats.
 	ratioUse = 0.9
-	// slackParts divides the slack; there may be this many VMs.
+	// slackParts divides the slack while fewer VMs are known.
 	slackParts = 32
 )
 
@@ -30,6 +30,7 @@
 	cfg Config
 	mu  sync.Mutex
 	all map[string]*counts
+	vms int
 	// began anchors the slots to the steady clock; the time of day may jump.
 	began time.Time
 }
@@ -82,7 +83,7 @@
 			repeats += c.repeats[i]
 		}
 	}
-	return b.cfg.Ratio*ratioUse*float64(requests) + b.cfg.Slack/slackParts - float64(repeats)
+	return b.cfg.Ratio*ratioUse*float64(requests) + b.cfg.Slack/float64(max(b.vms, slackParts)) - float64(repeats)
 }
 
 func (b *Budget) number(now time.Time) int64 {
@@ -106,3 +107,10 @@
 	}
 	return c, i
 }
+
+// SetVMs sets how many VMs share the slack.
+func (b *Budget) SetVMs(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.vms = n
+}
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -44,12 +44,14 @@
 // bound in every window, whatever the traffic does.
 func TestFleetStaysWithinTheBound(t *testing.T) {
 	for seed := range uint64(20) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+		vms := []int{30, 87, 330}[seed%3]
+		t.Run(fmt.Sprintf("%d with %d VMs", seed, vms), func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 1))
-			const vms, ticks = 30, 600 // 60 s
+			const ticks = 600 // 60 s
 			budgets := make([]*Budget, vms)
 			for i := range budgets {
 				budgets[i] = New(config)
+				budgets[i].SetVMs(vms)
 			}
 			begin := time.Now()
 			requests, repeats := make([]int, ticks), make([]int, ticks)
@@ -59,7 +61,7 @@
 					budgets[rng.IntN(vms)].Request(now, service)
 					requests[tick]++
 				}
-				for range rng.IntN(60) {
+				for range rng.IntN(4 * vms) {
 					if budgets[rng.IntN(vms)].Repeat(now, service) {
 						repeats[tick]++
 					}
