--- a/internal/edge/models.go
+++ b/internal/edge/models.go
@@ -34,7 +34,7 @@
 // The caller must not have got any of it.
 func (p *modelPlan) escalate(x *run, a *attempt) bool {
 	const withThis = 1 // the run whose answer would be dropped
-	if p.larger == "" || a.head.Confidence < 0 || x.runs+withThis >= x.req.Route.MaxUpstreams {
+	if p.larger == "" || x.runs+withThis >= x.req.Route.MaxUpstreams {
 		return false
 	}
 	now := time.Now()
--- a/internal/modelchoice/modelchoice.go
+++ b/internal/modelchoice/modelchoice.go
@@ -92,5 +92,8 @@
 	return onTime + (1-onTime)*lateWorth - priceWeight*o.Cost - load
 }
 
-// Escalate reports whether the larger model is worth more.
-func Escalate(a Answer, o Offer) bool { return o.Value() > a.Value() }
+// Escalate reports whether the larger model is worth more. An answer without an
+// opinion of itself is kept: nothing speaks against it.
+func Escalate(a Answer, o Offer) bool {
+	return a.Confidence >= 0 && o.Value() > a.Value()
+}
