--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -28,7 +28,7 @@
 	// gatherShare of a change's bound is the pause after a change. Upstreams
 	// change all the time in a large fleet, so theirs is longer.
 	gatherShare         = 0.25
-	gatherUpstreamShare = 0.5
+	gatherUpstreamShare = 0.7
 	// quickBackoff is the longest pause of the watch that finds out that the
 	// store is back, slowBackoff that of the others.
 	quickBackoff = 600 * time.Millisecond
