--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -30,6 +30,7 @@
 	Drain    DrainCommand    `cmd:"" help:"Stop a VM gracefully."`
 	Keys     KeysCommand     `cmd:"" help:"Create certificates and key digests."`
 	Explain  ExplainCommand  `cmd:"" help:"Tell from logs what happened to a request and why."`
+	Site     SiteCommand     `cmd:"" help:"Show what the platform's store says of a site."`
 }
 
 // Env is what commands run with.
