--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -22,7 +22,7 @@
 
 // site is a store, some replicas and one or more entry VMs in this process.
 type site struct {
-	t         *testing.T
+	t         testing.TB
 	store     *platformside.Store
 	address   string // of the store
 	replicas  map[string]*platformside.Replica
@@ -65,7 +65,7 @@
 	}
 }
 
-func newSite(t *testing.T) *site {
+func newSite(t testing.TB) *site {
 	t.Helper()
 	s := &site{t: t, store: platformside.NewStore(), replicas: make(map[string]*platformside.Replica), addresses: make(map[string]string), grace: 100 * time.Millisecond}
 	server := httptest.NewServer(s.store.Handler())
@@ -75,7 +75,7 @@
 }
 
 // standard is a site with three replicas of each service and one VM.
-func standard(t *testing.T) *site {
+func standard(t testing.TB) *site {
 	t.Helper()
 	s := newSite(t)
 	s.populate()
@@ -150,7 +150,7 @@
 	return out
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	t.Helper()
 	a, err := ports.Free()
