--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -189,10 +189,11 @@
 
 func (f *Follower) upstreamChanges(changes []catalog.Change) {
 	now := time.Now()
+	out := make([]fleet.Change, 0, len(changes))
 	for _, c := range changes {
 		o := c.Object
 		if c.Deleted || o.Deleting {
-			f.service.fleet.Remove(now, o.Name)
+			out = append(out, fleet.Change{Upstream: fleet.Upstream{ID: o.Name}, Gone: true})
 			klog.InfoS("fleet: upstream gone", "upstream", o.Name, "revision", o.Revision)
 			continue
 		}
@@ -201,10 +202,11 @@
 			klog.InfoS("fleet: entry ignored", "upstream", o.Name, "revision", o.Revision, "err", logs.Err(err))
 			continue
 		}
-		f.service.fleet.Upsert(now, u)
+		out = append(out, fleet.Change{Upstream: u})
 		klog.InfoS("fleet: upstream", "upstream", u.ID, "service", u.Service, "address", u.Address, "zone", u.Zone,
 			"version", u.Version, "leaving", u.Leaving, "born", u.Born, "revision", o.Revision)
 	}
+	f.service.fleet.Apply(now, out)
 }
 
 func (f *Follower) rollOut(o catalog.Object) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,6 +52,8 @@
 	withdrawn map[string]bool
 	zones     map[string]*zoneReach
 	vms       []string
+	told      map[string][]*member // by VM: where it told of requests
+	up, down  []*member            // scratch of eligible
 	coldRate  map[string]float64
 	pace      map[string]float64 // ms of first-token time per uncached token, by model
 	// lenient is the end of the time in which removals are held back.
@@ -62,7 +64,7 @@
 func New(cfg Config) *Fleet {
 	return &Fleet{
 		cfg: cfg, members: make(map[string]*member), byService: make(map[string][]*member),
-		withdrawn: make(map[string]bool), zones: make(map[string]*zoneReach), coldRate: make(map[string]float64), pace: make(map[string]float64),
+		withdrawn: make(map[string]bool), zones: make(map[string]*zoneReach), told: make(map[string][]*member), coldRate: make(map[string]float64), pace: make(map[string]float64),
 	}
 }
 
@@ -115,19 +117,25 @@
 	f.index()
 }
 
-// Upsert adds or changes one upstream.
-func (f *Fleet) Upsert(now time.Time, u Upstream) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.upsert(now, u)
-	f.index()
+// Change is a change of one upstream's entry.
+type Change struct {
+	Upstream Upstream
+	// Gone is true when the entry was removed; only the ID counts then.
+	Gone bool
 }
 
-// Remove takes out an upstream whose entry is gone.
-func (f *Fleet) Remove(now time.Time, id string) {
+// Apply takes changes together: in a large fleet many come at once, and the
+// lists are rebuilt only once for all of them.
+func (f *Fleet) Apply(now time.Time, changes []Change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.remove(now, id)
+	for _, c := range changes {
+		if c.Gone {
+			f.remove(now, c.Upstream.ID)
+		} else {
+			f.upsert(now, c.Upstream)
+		}
+	}
 	f.index()
 }
 
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/cranberrypier/cranberrypier/internal/exchange"
@@ -39,6 +40,8 @@
 type member struct {
 	Upstream
 	firstSeen time.Time
+	// hash of the ID, for rendezvous hashing.
+	hash uint64
 	// lapsed is when a vanished entry is given up; zero while it is listed.
 	lapsed time.Time
 
@@ -68,7 +71,7 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &member{Upstream: u, firstSeen: now, slow: 1, cached: cache}
+	return &member{Upstream: u, hash: xxhash.Sum64String(u.ID), firstSeen: now, slow: 1, cached: cache}
 }
 
 // failures is the failure rate as of now.
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -143,7 +143,8 @@
 // eligible lists the upstreams that may get the request. Upstreams that could
 // not be reached lately are used only when there is no other.
 func (f *Fleet) eligible(now time.Time, q Query, list []*member) ([]*member, Reason) {
-	var up, down []*member
+	up, down := f.up[:0], f.down[:0]
+	defer func() { f.up, f.down = up[:0], down[:0] }() // the lists are used under the lock only
 	cold := false
 	for _, m := range list {
 		if !f.usable(m) || slices.Contains(q.Exclude, m.ID) || !f.home(m, q.Regions) || !q.Allow(m.Version) {
@@ -197,14 +198,11 @@
 		return nil, nil
 	}
 	var most, next uint64
-	var buf [8]byte
-	binary.LittleEndian.PutUint64(buf[:], key)
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], key)
 	for _, m := range list {
-		var d xxhash.Digest
-		d.Reset()
-		_, _ = d.Write(buf[:]) // a hash never fails to write
-		_, _ = d.WriteString(m.ID)
-		switch h := d.Sum64(); {
+		binary.LittleEndian.PutUint64(buf[8:], m.hash)
+		switch h := xxhash.Sum64(buf[:]); {
 		case home == nil || h > most:
 			second, next = home, most
 			home, most = m, h
--- a/internal/fleet/share.go
+++ b/internal/fleet/share.go
@@ -32,9 +32,10 @@
 func (f *Fleet) Heard(now time.Time, vm string, loads []Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, m := range f.members {
+	for _, m := range f.told[vm] {
 		delete(m.remote, vm)
 	}
+	f.told[vm] = f.told[vm][:0]
 	for _, l := range loads {
 		m := f.members[l.Upstream]
 		if m == nil {
@@ -43,6 +44,7 @@
 		if m.remote == nil {
 			m.remote = make(map[string]remoteLoad)
 		}
+		f.told[vm] = append(f.told[vm], m)
 		m.remote[vm] = remoteLoad{inflight: l.Inflight, reading: float64(l.Reading), at: now}
 	}
 }
