edge: The test of torn streams uses prompts with different homes

Reproduced at once in every run; not flaky. The test now sends twelve prompts; its checks are the same, and the mutant without resuming is noticed.

--- a/internal/edge/stream_test.go
+++ b/internal/edge/stream_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -77,8 +78,10 @@
 		s.replicas[id].SetFaults(platformside.ReplicaFaults{Torn: true})
 	}
 	torn := false
-	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
-		g := s.do(chat(id))
+	for i, id := range strings.Split("abcdefghijkl", "") {
+		c := chat(id)
+		c.header["X-Prefix-Hash"] = fmt.Sprintf("%x:800,bb:660", i) // prompts with homes at all replicas
+		g := s.do(c)
 		require.NoError(t, g.err, id)
 		assert.Equal(t, streamOf(id, "small", 1, events), g.body)
 		runs := s.runs(id)
