--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -10,7 +10,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cranberrypier/cranberrypier/internal/logs"
-
 	"github.com/cranberrypier/cranberrypier/internal/result"
 )
 
--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -17,12 +17,11 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
-	"github.com/cranberrypier/cranberrypier/internal/logs"
-
 	"github.com/cranberrypier/cranberrypier/internal/canary"
 	"github.com/cranberrypier/cranberrypier/internal/catalog"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
 	"github.com/cranberrypier/cranberrypier/internal/gossip"
+	"github.com/cranberrypier/cranberrypier/internal/logs"
 	"github.com/cranberrypier/cranberrypier/internal/poison"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/cranberrypier/cranberrypier/internal/retrybudget"
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -10,10 +10,9 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/cranberrypier/cranberrypier/internal/logs"
-
 	"github.com/cranberrypier/cranberrypier/internal/exchange"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
+	"github.com/cranberrypier/cranberrypier/internal/logs"
 )
 
 // answerMost bounds an answer that is read whole, in bytes.
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -8,11 +8,10 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/cranberrypier/cranberrypier/internal/logs"
-
 	"github.com/cranberrypier/cranberrypier/internal/canary"
 	"github.com/cranberrypier/cranberrypier/internal/catalog"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
+	"github.com/cranberrypier/cranberrypier/internal/logs"
 	"github.com/cranberrypier/cranberrypier/internal/vm"
 )
 
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -9,11 +9,10 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/cranberrypier/cranberrypier/internal/logs"
-
 	"github.com/cranberrypier/cranberrypier/internal/canary"
 	"github.com/cranberrypier/cranberrypier/internal/exchange"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
+	"github.com/cranberrypier/cranberrypier/internal/logs"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/cranberrypier/cranberrypier/internal/retry"
 	"github.com/cranberrypier/cranberrypier/internal/routing"
@@ -35,7 +34,7 @@
 	sends int      // attempts that reached an upstream
 	runs  int      // attempts that ran or may have run
 	why   string   // why the versions were allowed, for the log
-	// settled is the outcome for the log and the metrics.
+	// outcome names how the request ended, for the log and the metrics.
 	outcome string
 	status  int
 	first   time.Duration
--- a/internal/edge/whole.go
+++ b/internal/edge/whole.go
@@ -7,10 +7,9 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/cranberrypier/cranberrypier/internal/logs"
-
 	"github.com/cranberrypier/cranberrypier/internal/exchange"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
+	"github.com/cranberrypier/cranberrypier/internal/logs"
 	"github.com/cranberrypier/cranberrypier/internal/retry"
 	"github.com/cranberrypier/cranberrypier/internal/routing"
 )
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -10,10 +10,9 @@
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
-	"github.com/cranberrypier/cranberrypier/internal/logs"
-
 	"github.com/cranberrypier/cranberrypier/internal/canary"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
+	"github.com/cranberrypier/cranberrypier/internal/logs"
 	"github.com/cranberrypier/cranberrypier/internal/poison"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 )
