--- a/internal/fake/ports/ports.go
+++ b/internal/fake/ports/ports.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"sync"
 )
 
 // Ports from lowest to highest lie below the usual range of outgoing connections.
@@ -21,11 +22,23 @@
 // ErrNone means that no free port was found.
 var ErrNone = errors.New("no free loopback port")
 
-// Free returns a loopback address that is free for TCP and UDP.
+// given are the ports that this process has handed out: a process under test may
+// not have begun to listen yet.
+var given = struct {
+	sync.Mutex
+	ports map[int]bool
+}{ports: make(map[int]bool)}
+
+// Free returns a loopback address that is free for TCP and UDP, and that was not
+// returned before.
 func Free() (string, error) {
+	given.Lock()
+	defer given.Unlock()
 	for range tries {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(lowest+rand.IntN(highest-lowest)))
-		if isFree(address) {
+		port := lowest + rand.IntN(highest-lowest)
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		if !given.ports[port] && isFree(address) {
+			given.ports[port] = true
 			return address, nil
 		}
 	}
