--- a/internal/fake/sitesoak/run.go
+++ b/internal/fake/sitesoak/run.go
@@ -110,6 +110,16 @@
 			w.broken("%s: %d of %d requests served after the last fault", v.name, got, recoverRequests)
 		}
 	}
+	w.calmPlan(rng)
+}
+
+// calmPlan plays planned work while everything is calm, since only then the
+// bounds of leaving and withdrawn replicas can be checked.
+func (w *world) calmPlan(rng *rand.Rand) {
+	time.Sleep(time.Second) // the checks ask for a little more than inTouch
+	w.note("planned work")
+	w.leave(rng, 0)
+	w.evacuate(rng, 0)
 }
 
 func (w *world) servedBy(vm string) int {
