--- a/internal/fake/platformside/replica.go
+++ b/internal/fake/platformside/replica.go
@@ -25,7 +25,7 @@
 	Torn bool
 	// Extra sends bytes of another answer after a whole one.
 	Extra bool
-	// Foreign answers with another request's id.
+	// Foreign gives another request's answer, with its id and signature.
 	Foreign bool
 	// Unsigned answers without a signature.
 	Unsigned bool
@@ -173,11 +173,12 @@
 		<-r.Context().Done()
 		return
 	}
-	id := run.ID
 	if f.Foreign {
-		id = "another"
+		other := *run
+		other.ID = "another"
+		run = &other
 	}
-	w.Header().Set("X-Attempt-Id", id)
+	w.Header().Set("X-Attempt-Id", run.ID)
 	w.Header().Set("X-Replica-Load", "1,0,8")
 	if run.Model != "" && !f.Fail {
 		p.stream(w, r, run, f)
