relay: VMs share what they read from the store

Every VM asked for the same, all four watchers of a VM probed a store that was away, and all VMs wrote the same verdict.

Change: in zones of six VMs or more three read; the others take what these have read. Words are merged by revision (catalog.Book); each datagram tells the newest revisions and the age of the latest proof that nothing else changed; a VM whose proof gets old reads the store itself (relay). While the store is away one watcher probes for all four (catalog.Group). Verdicts are written in an order. The periodic question to other VMs of a VM that the store turns away is gone: it hears of changes like all others.

--- /dev/null
+++ b/internal/catalog/book_test.go
@@ -0,0 +1,148 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func put(name string, revision uint64) Change {
+	return Change{Object: Object{Name: name, Revision: revision}}
+}
+
+func del(name string, revision uint64) Change {
+	return Change{Object: Object{Name: name, Revision: revision}, Deleted: true}
+}
+
+func names(list []Object) (out []string) {
+	for _, o := range list {
+		out = append(out, fmt.Sprintf("%s@%d", o.Name, o.Revision))
+	}
+	return out
+}
+
+func TestOlderWordsChangeNothing(t *testing.T) {
+	b := NewBook()
+	b.Replace(Upstreams, []Object{{Name: "a", Revision: 3}, {Name: "b", Revision: 4}}, 5)
+	assert.Len(t, b.Apply(Upstreams, []Change{put("a", 9)}, 9), 1)
+	for name, old := range map[string]Change{
+		"an older state":                  put("a", 8),
+		"the same state":                  put("a", 9),
+		"an older deletion":               del("a", 8),
+		"a deletion of what is not there": del("x", 9),
+	} {
+		assert.Empty(t, b.Apply(Upstreams, []Change{old}, 9), name)
+	}
+	assert.Len(t, b.Apply(Upstreams, []Change{del("a", 12)}, 12), 1)
+	assert.Empty(t, b.Apply(Upstreams, []Change{put("a", 10)}, 12), "a state from before the deletion")
+	assert.Len(t, b.Apply(Upstreams, []Change{put("a", 13)}, 13), 1, "created anew")
+}
+
+func TestAListKeepsWhatIsNewer(t *testing.T) {
+	b := NewBook()
+	b.Replace(Upstreams, []Object{{Name: "a", Revision: 3}, {Name: "b", Revision: 4}, {Name: "c", Revision: 5}}, 5)
+	b.Apply(Upstreams, []Change{put("new", 12), del("b", 11)}, 12)
+	// The list was read before, but is heard of after the changes.
+	got := b.Replace(Upstreams, []Object{{Name: "a", Revision: 3}, {Name: "b", Revision: 4}}, 10)
+	assert.Equal(t, []string{"a@3", "c@5", "new@12"}, names(got), "an older list changes nothing")
+	got = b.Replace(Upstreams, []Object{{Name: "a", Revision: 3}, {Name: "new", Revision: 12}}, 14)
+	assert.Equal(t, []string{"a@3", "new@12"}, names(got))
+}
+
+func TestPartsForOtherVMs(t *testing.T) {
+	b := NewBook()
+	_, ok := b.Since(Upstreams, 0)
+	assert.False(t, ok, "a kind that was never listed")
+	b.Replace(Upstreams, []Object{{Name: "a", Revision: 3}, {Name: "b", Revision: 4}}, 5)
+	b.Apply(Upstreams, []Change{put("c", 7), del("a", 8)}, 9)
+	p, ok := b.Since(Upstreams, 6)
+	require.True(t, ok)
+	assert.Equal(t, Part{Objects: []Object{{Name: "c", Revision: 7}}, Gone: map[string]uint64{"a": 8}, Complete: 9, Last: 8}, p)
+	p, _ = b.Since(Upstreams, 4)
+	assert.True(t, p.Whole, "deletions before the list are not known one by one")
+	assert.Equal(t, []string{"b@4", "c@7"}, names(p.Objects))
+	for i := range goneMost + 10 {
+		b.Apply(Upstreams, []Change{put("x", uint64(100+2*i)), del("x", uint64(101+2*i))}, uint64(101+2*i))
+		b.Apply(Upstreams, []Change{put(fmt.Sprint(i), uint64(10_000+2*i)), del(fmt.Sprint(i), uint64(10_001+2*i))}, uint64(10_001+2*i))
+	}
+	p, _ = b.Since(Upstreams, 9)
+	assert.True(t, p.Whole, "old deletions are forgotten")
+	assert.LessOrEqual(t, len(b.kinds[Upstreams].gone), goneMost)
+}
+
+// Three VMs hear of the same store by watches, lists and from each other, in
+// any order. Whoever knows everything up to a revision knows the store's state
+// at that revision, and what is newer was in the store at some time.
+func TestBooksAgreeWithTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history []Change
+		at := map[string]int{} // by name: the index of its newest change
+		books := []*Book{NewBook(), NewBook(), NewBook()}
+		state := func(revision uint64) []string {
+			now := map[string]Object{}
+			for _, c := range history {
+				if c.Object.Revision > revision {
+					break
+				}
+				if c.Deleted {
+					delete(now, c.Object.Name)
+				} else {
+					now[c.Object.Name] = c.Object
+				}
+			}
+			s := shelf{objects: now}
+			return names(s.sorted())
+		}
+		list := func(revision uint64) (out []Object) {
+			now := map[string]Object{}
+			for _, c := range history {
+				if c.Object.Revision <= revision && !c.Deleted {
+					now[c.Object.Name] = c.Object
+				} else if c.Object.Revision <= revision {
+					delete(now, c.Object.Name)
+				}
+			}
+			return (&shelf{objects: now}).sorted()
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			b := books[rapid.IntRange(0, 2).Draw(t, "vm")]
+			revision := uint64(len(history))
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0: // the store changes
+				name := string(rune('a' + rapid.IntRange(0, 3).Draw(t, "name")))
+				i, known := at[name]
+				c := put(name, revision+1)
+				if known && !history[i].Deleted && rapid.Bool().Draw(t, "deleted") {
+					c.Deleted = true
+				}
+				at[name] = len(history)
+				history = append(history, c)
+			case 1: // a list, which may be heard of late
+				when := uint64(rapid.IntRange(0, len(history)).Draw(t, "when"))
+				b.Replace(Upstreams, list(when), when)
+			case 2: // a watch
+				if b.Known(Upstreams) {
+					b.Apply(Upstreams, history[b.Complete(Upstreams):], revision)
+				}
+			case 3: // another VM's word
+				from := books[rapid.IntRange(0, 2).Draw(t, "from")]
+				if p, ok := from.Since(Upstreams, b.Complete(Upstreams)); ok {
+					adopt(b, p)
+				}
+			}
+			for _, b := range books {
+				if b.Known(Upstreams) {
+					assert.Equal(t, state(b.Complete(Upstreams)), names(b.kinds[Upstreams].sorted()))
+				}
+			}
+		}
+	})
+}
+
+func adopt(b *Book, p Part) {
+	g := &Group{book: b, handlers: map[Kind]Handler{Upstreams: {Replace: func([]Object) {}, Apply: func([]Change) {}}}}
+	g.Adopt(Upstreams, p)
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -20,6 +20,9 @@
 	Withdrawals    Kind = "withdrawal"
 )
 
+// Kinds lists all kinds in the order in which VMs tell of them.
+var Kinds = []Kind{Configurations, Upstreams, RollOuts, Withdrawals}
+
 // Object is one stored object.
 type Object struct {
 	Name string
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -9,7 +9,6 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/cranberrypier/cranberrypier/internal/logs"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 )
 
@@ -29,9 +28,12 @@
 	probeWait = 300 * time.Millisecond
 	// freshTime is how long a watch call is taken to be sound after it began.
 	freshTime = 300 * time.Millisecond
-	// awayTime is how long the store has to fail before its return counts as
-	// one after an absence.
-	awayTime = 700 * time.Millisecond
+	// variedLeast is the least part of a wait or pause that differs from call to
+	// call.
+	variedLeast = 0.1
+	// idleTime is the longest rest of a watcher that may not call the store; it
+	// is woken when it may again.
+	idleTime = time.Minute
 )
 
 // Pace is how a watcher spends calls, each of which is paid for.
@@ -41,8 +43,7 @@
 	// Gather is the pause after a change, so that changes that come together
 	// are answered by one call.
 	Gather time.Duration
-	// Backoff is the longest pause between failed calls. Watchers of a group may
-	// leave it to one of them to find out that the store is back.
+	// Backoff is the longest pause between failed calls.
 	Backoff time.Duration
 }
 
@@ -52,52 +53,9 @@
 	Replace func(list []Object)
 	// Apply takes changes since the list.
 	Apply func(changes []Change)
-	// Returned is told when the store answers again after an absence, before
+	// Returned is told when the store answered again after an absence, before
 	// what it answered. It may be nil.
-	Returned func()
-}
-
-// Group joins the watchers of one store. A watch may go silent when the store
-// drops its history; or is away; the first watcher that learns of it renews all others.
-type Group struct {
-	mu       sync.Mutex
-	watchers []*Watcher
-	answered time.Time // the store's latest answer to any of them
-}
-
-// Away is how long the store has answered no watcher, from the group's first
-// call on.
-func (g *Group) Away(now time.Time) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.answered.IsZero() {
-		g.answered = now
-	}
-	return now.Sub(g.answered)
-}
-
-func (g *Group) sound() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.answered = time.Now()
-}
-
-// Add makes a watcher part of the group, before it runs.
-func (g *Group) Add(w *Watcher) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	w.group = g
-	g.watchers = append(g.watchers, w)
-}
-
-func (g *Group) renewOthers(but *Watcher) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, w := range g.watchers {
-		if w != but {
-			w.renew()
-		}
-	}
+	Returned func(at time.Time)
 }
 
 // Watcher follows one kind of objects: a list, then watches from its revision.
@@ -108,43 +66,58 @@
 	pace   Pace
 	handle Handler
 
-	failing  time.Time // since when calls fail; zero when they do not
-	pause    time.Duration
-	revision uint64
-	listed   bool
+	pause time.Duration
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// again is true when the kind has to be listed anew.
+	again bool
+	// short is true when the next watch call has to be answered soon.
+	short  bool
 	cancel context.CancelFunc // ends the watch call in progress; nil when there is none
 	began  time.Time
 
 	wake chan struct{} // ends a pause
 }
 
-// NewWatcher returns a watcher of a kind.
-func NewWatcher(source Source, kind Kind, pace Pace, handle Handler) *Watcher {
-	return &Watcher{source: source, kind: kind, pace: pace, handle: handle, wake: make(chan struct{}, 1)}
+// NewWatcher returns a watcher of a kind that is part of a group.
+func NewWatcher(group *Group, source Source, kind Kind, pace Pace, handle Handler) *Watcher {
+	w := &Watcher{group: group, source: source, kind: kind, pace: pace, handle: handle, wake: make(chan struct{}, 1)}
+	group.add(w)
+	return w
 }
 
 // Run follows the kind until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		var err error
-		if w.listed {
-			err = w.watch(ctx)
-		} else {
-			err = w.list(ctx)
+		if !w.group.mayCall(w) {
+			w.rest(ctx, idleTime)
+			continue
 		}
+		err := w.call(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil {
-			continue
+		if err != nil {
+			w.failed(err)
+			w.rest(ctx, w.pause/2+rand.N(w.pause/2))
 		}
-		w.failed(err)
-		w.rest(ctx, w.pause/2+rand.N(w.pause/2))
 	}
 }
 
+func (w *Watcher) call(ctx context.Context) error {
+	if w.known() {
+		return w.watch(ctx)
+	}
+	return w.list(ctx)
+}
+
+// known reports whether watching goes on from what is known.
+func (w *Watcher) known() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.again && w.group.book.Known(w.kind)
+}
+
 // rest waits for d, the end of ctx, or a renewal.
 func (w *Watcher) rest(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -157,68 +130,111 @@
 }
 
 func (w *Watcher) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	list, at, err := w.source.List(ctx, w.kind)
+	w.setCancel(cancel)
+	list, at, err := w.source.List(call, w.kind)
+	w.setCancel(nil)
+	if errors.Is(call.Err(), context.Canceled) {
+		return nil // renewed, or the process stops
+	}
 	if err != nil {
 		return err
 	}
 	w.answered()
-	w.revision = at
-	w.listed = true
-	w.handle.Replace(list)
+	w.setAgain(false)
+	w.group.replace(w.kind, list, at)
 	return nil
 }
 
 func (w *Watcher) watch(ctx context.Context) error {
-	wait := w.pace.Wait
-	if !w.failing.IsZero() {
-		wait = probeWait
-	}
+	wait := w.wait()
 	call, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
+	after := w.group.book.Complete(w.kind)
 	w.setCancel(cancel)
-	changes, at, err := w.source.Watch(call, w.kind, w.revision, wait)
+	changes, at, err := w.source.Watch(call, w.kind, after, wait)
 	w.setCancel(nil)
 	if errors.Is(call.Err(), context.Canceled) {
 		return nil // renewed, or the process stops
 	}
 	if result.Is(err, result.PlatformGone) {
-		klog.InfoS("catalog: history gone, listing anew", "kind", w.kind, "revision", w.revision)
-		w.listed = false
-		w.renewOthers()
+		klog.InfoS("catalog: history gone, listing anew", "kind", w.kind, "after", after)
+		w.group.historyGone(w, after)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	w.answered()
-	if at > w.revision {
-		w.revision = at
-	}
+	w.group.apply(w.kind, changes, at)
 	if len(changes) > 0 {
-		w.handle.Apply(changes)
-		w.rest(ctx, w.pace.Gather)
+		w.rest(ctx, w.gather())
 	}
 	return nil
 }
 
+// wait is how long the next watch call waits for a change.
+func (w *Watcher) wait() time.Duration {
+	away, varies := w.group.Away(), w.group.varies(w)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	short := w.short || away
+	w.short = false
+	if short {
+		return min(probeWait, w.pace.Wait)
+	}
+	if varies {
+		return vary(w.pace.Wait)
+	}
+	return w.pace.Wait
+}
+
+// gather is the pause after a change.
+func (w *Watcher) gather() time.Duration {
+	if w.group.varies(w) {
+		return vary(w.pace.Gather)
+	}
+	return w.pace.Gather
+}
+
+// vary is a random part of a time.
+func vary(d time.Duration) time.Duration {
+	least := time.Duration(variedLeast * float64(d))
+	return least + rand.N(d-least)
+}
+
+// hurry makes the next watch call a short one.
+func (w *Watcher) hurry() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.short = true
+}
+
+func (w *Watcher) setAgain(again bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.again = again
+}
+
 func (w *Watcher) setCancel(cancel context.CancelFunc) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cancel = cancel
-	w.began = time.Now()
+	if cancel != nil {
+		w.began = time.Now()
+	}
 }
 
-func (w *Watcher) renewOthers() {
-	if w.group != nil {
-		w.group.renewOthers(w)
-	}
+func (w *Watcher) callBegan() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.began
 }
 
-// renew ends the watch call or the pause in progress, so that the next call
-// tells whether anything was missed. A call that has just begun is left alone.
-func (w *Watcher) renew() {
+// renew ends the call or the pause in progress, so that the next call tells
+// whether anything was missed. A call that is younger than fresh is left alone.
+func (w *Watcher) renew(fresh time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.cancel == nil {
@@ -228,36 +244,21 @@
 		}
 		return
 	}
-	if time.Since(w.began) > freshTime {
+	if time.Since(w.began) >= fresh {
 		w.cancel()
 	}
 }
 
 func (w *Watcher) answered() {
-	if w.group != nil {
-		w.group.sound()
-	}
-	if !w.failing.IsZero() {
-		away := time.Since(w.failing)
-		klog.InfoS("catalog: store regained", "kind", w.kind, "away", away)
-		if away >= awayTime && w.handle.Returned != nil {
-			w.handle.Returned()
-		}
-		// Calls that were sent into the outage are never answered.
-		w.renewOthers()
-	}
-	w.failing = time.Time{}
 	w.pause = 0
+	w.group.answered(w)
 }
 
 func (w *Watcher) failed(err error) {
-	if w.failing.IsZero() {
-		w.failing = time.Now()
-		klog.InfoS("catalog: store lost", "kind", w.kind, "revision", w.revision, "err", logs.Err(err))
-	}
 	longest := listPause
-	if w.listed {
+	if w.known() {
 		longest = w.pace.Backoff
 	}
 	w.pause = min(max(2*w.pause, firstPause), longest)
+	w.group.lost(w, err)
 }
--- a/internal/catalog/watcher_test.go
+++ b/internal/catalog/watcher_test.go
@@ -159,7 +159,7 @@
 				note(c.Object.Name)
 			}
 		},
-		Returned: func() {
+		Returned: func(time.Time) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.returned++
@@ -185,12 +185,11 @@
 	quick, slow = &seen{}, &seen{}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
-	var group Group
+	group := NewGroup()
 	for _, w := range []*Watcher{
-		NewWatcher(store, Upstreams, quickPace, quick.handler()),
-		NewWatcher(store, Configurations, slowPace, slow.handler()),
+		NewWatcher(group, store, Upstreams, quickPace, quick.handler()),
+		NewWatcher(group, store, Configurations, slowPace, slow.handler()),
 	} {
-		group.Add(w)
 		wait.Go(func() { w.Run(ctx) })
 	}
 	return quick, slow, func() {
--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -88,8 +88,9 @@
 		canary: canary.New(startName(self), b.ExposureShare, b.SessionTTL),
 		poison: poison.New(),
 	}
-	o.Metrics.follow(s)
-	return &App{o: o, service: s, follower: NewFollower(s, o.Source, o.Documents, b), start: start}
+	follower := NewFollower(s, o, time.Now())
+	o.Metrics.follow(s, follower)
+	return &App{o: o, service: s, follower: follower, start: start}
 }
 
 // StoreTransport is the transport of the store's client.
@@ -106,43 +107,52 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var background sync.WaitGroup
-	var group catalog.Group
-	for _, w := range a.follower.Watchers(&group) {
+	watchers := a.follower.Watchers()
+	a.follower.decide(time.Now(), []string{a.o.Settings.Name})
+	for _, w := range watchers {
 		background.Go(func() { w.Run(work) })
 	}
-	background.Go(func() { a.follower.Tick(work) })
 	background.Go(func() { a.service.probe(work) })
-	if err := a.gossip(work, &background, &group); err != nil {
+	zone, err := a.gossip(work, &background)
+	if err != nil {
 		return err
 	}
-	err := a.serve(ctx)
+	background.Go(func() { a.follower.Tick(work, zone) })
+	err = a.serve(ctx)
 	stop()
 	background.Wait()
 	klog.InfoS("process: stop", "err", logs.Err(err))
 	return err
 }
 
-// gossip keeps in touch with the other VMs.
-func (a *App) gossip(ctx context.Context, background *sync.WaitGroup, group *catalog.Group) error {
+// gossip keeps in touch with the other VMs. It returns what lists the live VMs
+// of this VM's zone.
+func (a *App) gossip(ctx context.Context, background *sync.WaitGroup) (zone func() []string, err error) {
 	set := a.o.Settings
 	if set.Peers == "" {
 		klog.InfoS("gossip: no address for peers, this VM stands alone")
-		return nil
+		return func() []string { return []string{set.Name} }, nil
 	}
 	self := gossip.Member{Name: set.Name, Start: a.start, Address: set.Peers, Zone: set.Zone}
-	peers, err := gossip.New(self, set.Seeds, a.service.gossipSources())
+	sources := a.service.gossipSources()
+	sources.View = a.follower.view
+	sources.Heard = func(now time.Time, m gossip.Message) {
+		a.follower.hear(now, m)
+		a.service.heard(now, m)
+	}
+	peers, err := gossip.New(self, set.Seeds, sources)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	background.Go(func() { peers.Run(ctx) })
-	background.Go(func() { a.follower.askPeers(ctx, group, peers.Addresses) })
+	background.Go(func() { a.follower.askPeers(ctx) })
 	if err := a.serveState(ctx); err != nil {
-		return err
+		return nil, err
 	}
 	if a.o.Load != nil {
 		background.Go(func() { a.follow(ctx, a.o.Reload, a.o.Load, peers.SetSeeds) })
 	}
-	return nil
+	return peers.Zone, nil
 }
 
 // serveState tells other VMs what this one has from the store, until ctx ends.
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,11 +26,10 @@
 	// gatherShare of a change's bound is the pause after a change. Upstreams
 	// change all the time in a large fleet, so theirs is longer.
 	gatherShare         = 0.25
-	gatherUpstreamShare = 0.7
-	// quickBackoff is the longest pause of the watch that finds out that the
-	// store is back, slowBackoff that of the others.
-	quickBackoff = 600 * time.Millisecond
-	slowBackoff  = 5 * time.Second
+	gatherUpstreamShare = 0.5
+	// backoff is the longest pause between calls to a store that is away. Each VM
+	// probes by itself, and the first that is answered tells the others.
+	backoff = 1200 * time.Millisecond
 	// leastBound replaces bounds that the settings lack.
 	leastBound = time.Second
 )
@@ -50,10 +48,17 @@
 	zones   map[string]bool
 	orders  map[string]orderObject // by object name
 	known   struct{ config, upstreams atomic.Bool }
-	book    *stateBook
-	// handlers take the store's and other VMs' word on each kind, one at a time.
-	handlers map[catalog.Kind]catalog.Handler
-	taking   sync.Mutex
+	// group is what follows the store, and relaying who reads it.
+	group    *catalog.Group
+	relaying *relaying
+	// verdicts are when verdicts that may be written were first seen.
+	verdicts map[verdictKey]time.Time
+}
+
+// verdictKey names a verdict.
+type verdictKey struct {
+	service, target string
+	phase           canary.Phase
 }
 
 // orderObject is a roll-out's object as last seen.
@@ -63,66 +68,41 @@
 }
 
 // NewFollower returns a follower that knows nothing yet.
-func NewFollower(s *Service, source catalog.Source, docs Documents, bounds vm.Bounds) *Follower {
-	return &Follower{service: s, source: source, docs: docs, bounds: bounds, book: newStateBook(), zones: make(map[string]bool), orders: make(map[string]orderObject)}
+func NewFollower(s *Service, o Options, began time.Time) *Follower {
+	return &Follower{
+		service: s, source: o.Source, docs: o.Documents, bounds: o.Settings.Bounds,
+		zones: make(map[string]bool), orders: make(map[string]orderObject), verdicts: make(map[verdictKey]time.Time),
+		group: catalog.NewGroup(), relaying: newRelaying(relayConfig(o, began)),
+	}
 }
 
 // Ready reports whether the VM knows enough to serve callers.
 func (f *Follower) Ready() bool { return f.known.config.Load() && f.known.upstreams.Load() }
 
-// Watchers returns a watcher for each kind, joined by group.
-func (f *Follower) Watchers(group *catalog.Group) []*catalog.Watcher {
-	quick := catalog.Pace{Wait: share(quickShare, f.bounds.Stability), Gather: share(gatherUpstreamShare, f.bounds.DrainTimeout), Backoff: quickBackoff}
-	slow := catalog.Pace{Wait: slowWait, Gather: share(gatherShare, f.bounds.ConfigApply), Backoff: slowBackoff}
-	f.handlers = map[catalog.Kind]catalog.Handler{
-		catalog.Configurations: f.recorded(catalog.Configurations, catalog.Handler{
+// Watchers returns a watcher for each kind.
+func (f *Follower) Watchers() []*catalog.Watcher {
+	quick := catalog.Pace{Wait: share(quickShare, f.bounds.Stability), Gather: share(gatherUpstreamShare, f.bounds.DrainTimeout), Backoff: backoff}
+	slow := catalog.Pace{Wait: slowWait, Gather: share(gatherShare, f.bounds.ConfigApply), Backoff: backoff}
+	watch := func(kind catalog.Kind, pace catalog.Pace, h catalog.Handler) *catalog.Watcher {
+		return catalog.NewWatcher(f.group, f.source, kind, pace, h)
+	}
+	return []*catalog.Watcher{
+		watch(catalog.Upstreams, quick, catalog.Handler{
+			Replace: f.upstreams, Apply: f.upstreamChanges, Returned: f.service.fleet.StoreReturned,
+		}),
+		watch(catalog.Configurations, slow, catalog.Handler{
 			Replace: func(l []catalog.Object) { f.each(l, f.configuration) },
 			Apply:   func(c []catalog.Change) { f.changes(c, f.configuration, nil) },
 		}),
-		catalog.Upstreams: f.recorded(catalog.Upstreams, catalog.Handler{
-			Replace: f.upstreams, Apply: f.upstreamChanges,
-			Returned: func() { f.service.fleet.StoreReturned(time.Now()) },
-		}),
-		catalog.RollOuts: f.recorded(catalog.RollOuts, catalog.Handler{
+		watch(catalog.RollOuts, slow, catalog.Handler{
 			Replace: func(l []catalog.Object) { f.each(l, f.rollOut) },
 			Apply:   func(c []catalog.Change) { f.changes(c, f.rollOut, f.rollOutGone) },
 		}),
-		catalog.Withdrawals: f.recorded(catalog.Withdrawals, catalog.Handler{
+		watch(catalog.Withdrawals, slow, catalog.Handler{
 			Replace: f.withdrawals,
 			Apply:   func(c []catalog.Change) { f.changes(c, f.withdrawn, f.returned) },
 		}),
 	}
-	var all []*catalog.Watcher
-	for kind, handle := range f.handlers {
-		pace := slow
-		if kind == catalog.Upstreams {
-			pace = quick
-		}
-		w := catalog.NewWatcher(f.source, kind, pace, handle)
-		group.Add(w)
-		all = append(all, w)
-	}
-	return all
-}
-
-// recorded keeps what a handler takes for other VMs, and lets one word at a time
-// be taken: watchers and other VMs speak at once.
-func (f *Follower) recorded(kind catalog.Kind, h catalog.Handler) catalog.Handler {
-	return catalog.Handler{
-		Returned: h.Returned,
-		Replace: func(list []catalog.Object) {
-			f.taking.Lock()
-			defer f.taking.Unlock()
-			f.book.replace(kind, list)
-			h.Replace(list)
-		},
-		Apply: func(changes []catalog.Change) {
-			f.taking.Lock()
-			defer f.taking.Unlock()
-			f.book.apply(kind, changes)
-			h.Apply(changes)
-		},
-	}
 }
 
 func (f *Follower) each(list []catalog.Object, take func(catalog.Object)) {
@@ -267,15 +247,16 @@
 // Tick times.
 const (
 	// tickTime is the pace of what happens by itself.
-	tickTime = 200 * time.Millisecond
+	tickTime = 50 * time.Millisecond
 	// reportTimeout bounds the report of a verdict.
 	reportTimeout = time.Second
 	// reportAgain is the pause before a report that failed is repeated.
 	reportAgain = 700 * time.Millisecond
 )
 
-// Tick judges roll-outs and expires lapsed entries until ctx ends.
-func (f *Follower) Tick(ctx context.Context) {
+// Tick decides who reads the store, judges roll-outs and expires lapsed entries
+// until ctx ends. Zone lists the live VMs of this VM's zone.
+func (f *Follower) Tick(ctx context.Context, zone func() []string) {
 	tick := time.NewTicker(tickTime)
 	defer tick.Stop()
 	var next time.Time
@@ -286,20 +267,43 @@
 		case <-tick.C:
 		}
 		now := time.Now()
+		f.decide(now, zone())
 		f.service.fleet.Expire(now)
 		if now.Before(next) {
 			continue
 		}
-		f.service.mu.Lock()
-		verdicts := f.service.canary.Tick(now)
-		f.service.mu.Unlock()
-		for _, v := range verdicts {
-			f.report(ctx, v)
+		if f.judge(ctx, now) {
 			next = now.Add(reportAgain)
 		}
 	}
 }
 
+// judge reports the verdicts that are due and tells whether there were any.
+func (f *Follower) judge(ctx context.Context, now time.Time) bool {
+	f.service.mu.Lock()
+	verdicts := f.service.canary.Tick(now)
+	f.service.mu.Unlock()
+	if len(verdicts) == 0 {
+		clear(f.verdicts)
+		return false
+	}
+	patience := f.patienceWithVerdict()
+	reported := false
+	for _, v := range verdicts {
+		key := verdictKey{v.Order.Service, v.Order.Target, v.Phase}
+		since, seen := f.verdicts[key]
+		if !seen {
+			since = now
+			f.verdicts[key] = now
+		}
+		if now.Sub(since) >= patience {
+			f.report(ctx, v)
+			reported = true
+		}
+	}
+	return reported
+}
+
 // report writes a verdict to the store. Another VM may have been faster; the
 // condition on the revision makes that harmless.
 func (f *Follower) report(ctx context.Context, v canary.Verdict) {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -57,15 +57,17 @@
 }
 
 // follow registers gauges of what the VM believes.
-func (m *Metrics) follow(s *Service) {
+func (m *Metrics) follow(s *Service, f *Follower) {
 	gauges := map[string]struct {
 		help string
 		read func() float64
 	}{
-		"pier_config_version": {"Version of the configuration in force.", func() float64 { return float64(s.configVersion()) }},
-		"pier_upstreams":      {"Upstreams that are listed.", func() float64 { return float64(s.fleet.Len()) }},
-		"pier_known_vms":      {"Entry VMs that share the fleet-wide bounds.", func() float64 { return float64(s.fleet.VMs()) }},
-		"pier_isolated":       {"1 while no upstream is in reach.", s.isolation.gauge},
+		"pier_config_version":    {"Version of the configuration in force.", func() float64 { return float64(s.configVersion()) }},
+		"pier_upstreams":         {"Upstreams that are listed.", func() float64 { return float64(s.fleet.Len()) }},
+		"pier_known_vms":         {"Entry VMs that share the fleet-wide bounds.", func() float64 { return float64(s.fleet.VMs()) }},
+		"pier_isolated":          {"1 while no upstream is in reach.", s.isolation.gauge},
+		"pier_reads_store":       {"1 while this VM reads the store itself.", f.readsGauge},
+		"pier_store_age_seconds": {"Age of the latest proof that nothing of the store is missing.", f.ageGauge},
 	}
 	for name, g := range gauges {
 		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: g.help}, g.read))
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -26,3 +26,37 @@
 	s.configure(routes(), "key-2")
 	assert.Eventually(t, func() bool { return s.do(call{id: "new", path: "/look/x", key: "key-2"}).status == 200 }, 5*time.Second, 50*time.Millisecond)
 }
+
+// In a larger zone three VMs watch the store for all. A configuration is in
+// force everywhere in time, also when most VMs stop right before it.
+func TestVMsShareWhatTheyRead(t *testing.T) {
+	const vms, readers = 8, 3
+	s := standard(t)
+	for i := 2; i <= vms; i++ {
+		s.launchVM(fmt.Sprintf("vm-%d", i))
+	}
+	require.Eventually(t, func() bool { return s.store.Watching("config") == readers }, 10*time.Second, 10*time.Millisecond)
+	s.configure(routes(), "key-2")
+	s.allServe("key-2", s.vms)
+	for _, e := range s.vms[:5] {
+		e.stop()
+	}
+	s.configure(routes(), "key-3")
+	s.allServe("key-3", s.vms[5:])
+}
+
+// allServe waits until all of the VMs let a key in, within the bound of configurations.
+func (s *site) allServe(key string, vms []*entry) {
+	s.t.Helper()
+	all := s.vms
+	defer func() { s.vms = all }()
+	require.Eventually(s.t, func() bool {
+		for i, e := range vms {
+			s.vms = []*entry{e}
+			if got := s.do(call{id: fmt.Sprint(key, i), path: "/look/x", key: key}); got.status != 200 {
+				return false
+			}
+		}
+		return true
+	}, vms[0].settings.Bounds.ConfigApply, 10*time.Millisecond)
+}
--- a/internal/edge/peerstate.go
+++ b/internal/edge/peerstate.go
@@ -4,9 +4,9 @@
 	"context"
 	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"net/http"
-	"sync"
+	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -18,152 +18,95 @@
 )
 
 const (
-	// statePath is where a VM tells others what it has from the store.
+	// statePath is where a VM tells others what it has from the store. The query
+	// names the revision up to which the asking VM knows each kind.
 	statePath = "/peer/v1/state"
 	// stateMost bounds the state of another VM, in bytes: the largest
 	// configuration is 1 MB, and there are some hundred upstreams.
 	stateMost = 8 << 20
-	// askAfter is how long the store has to be away before others are asked, and
-	// askEvery the pause between two questions.
-	askAfter = 4 * time.Second
-	askEvery = 3 * time.Second
-	// askTimeout bounds one question.
-	askTimeout = time.Second
+	// askTimeout bounds one question; it leaves a VM time to read the store
+	// itself within the shortest bound.
+	askTimeout = 600 * time.Millisecond
 )
 
-// kindState is what a VM has of one kind, and the store's revision of it.
-type kindState struct {
-	Revision uint64           `json:"revision"`
-	Objects  []catalog.Object `json:"objects"`
-}
-
-// stateBook keeps the objects as they came, for VMs that the store turns away.
-type stateBook struct {
-	mu    sync.Mutex
-	kinds map[catalog.Kind]map[string]catalog.Object
-	at    map[catalog.Kind]uint64
-}
-
-func newStateBook() *stateBook {
-	return &stateBook{kinds: make(map[catalog.Kind]map[string]catalog.Object), at: make(map[catalog.Kind]uint64)}
-}
-
-func (b *stateBook) replace(kind catalog.Kind, list []catalog.Object) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	objects := make(map[string]catalog.Object, len(list))
-	b.at[kind] = 0
-	for _, o := range list {
-		objects[o.Name] = o
-		b.at[kind] = max(b.at[kind], o.Revision)
-	}
-	b.kinds[kind] = objects
-}
-
-func (b *stateBook) apply(kind catalog.Kind, changes []catalog.Change) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, c := range changes {
-		b.at[kind] = max(b.at[kind], c.Object.Revision)
-		if c.Deleted {
-			delete(b.kinds[kind], c.Object.Name)
-			continue
-		}
-		if b.kinds[kind] == nil {
-			b.kinds[kind] = make(map[string]catalog.Object)
-		}
-		b.kinds[kind][c.Object.Name] = c.Object
-	}
-}
-
-// revision is the newest revision of a kind that is known here.
-func (b *stateBook) revision(kind catalog.Kind) uint64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.at[kind]
-}
-
-func (b *stateBook) snapshot() map[catalog.Kind]kindState {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	out := make(map[catalog.Kind]kindState, len(b.kinds))
-	for kind, objects := range b.kinds {
-		s := kindState{Revision: b.at[kind]}
-		for _, o := range objects {
-			s.Objects = append(s.Objects, o)
-		}
-		out[kind] = s
-	}
-	return out
+// peerState is what a VM tells another of the store.
+type peerState struct {
+	Kinds map[catalog.Kind]catalog.Part `json:"kinds"`
+	// ReturnedMS is how long ago the store was back after an absence; zero when
+	// it never was away.
+	ReturnedMS int64 `json:"returnedMS,omitempty"`
 }
 
 // stateHandler tells other VMs what this one has from the store.
 func (f *Follower) stateHandler() http.Handler {
 	r := chi.NewRouter()
-	r.Get(statePath, func(w http.ResponseWriter, _ *http.Request) {
+	r.Get(statePath, func(w http.ResponseWriter, req *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(f.book.snapshot()); err != nil {
+		if err := json.NewEncoder(w).Encode(f.stateSince(req.URL.Query())); err != nil {
 			klog.InfoS("peers: state not sent", "err", logs.Err(err))
 		}
 	})
 	return r
 }
 
-// askPeers takes newer state from other VMs while the store does not answer
-// this one, until ctx ends. The store's own word always counts again as soon as
-// it is heard.
-func (f *Follower) askPeers(ctx context.Context, group *catalog.Group, peers func() []string) {
-	client := &http.Client{Timeout: askTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer(askTimeout).DialContext}}
-	tick := time.NewTicker(askEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		addresses := peers()
-		if group.Away(time.Now()) < askAfter || len(addresses) == 0 {
-			continue
-		}
-		address := addresses[rand.IntN(len(addresses))]
-		state, err := fetchState(ctx, client, address)
-		if err != nil {
-			klog.InfoS("peers: state not fetched", "from", address, "err", logs.Err(err))
-			continue
+func (f *Follower) stateSince(known url.Values) peerState {
+	out := peerState{Kinds: make(map[catalog.Kind]catalog.Part)}
+	for _, kind := range catalog.Kinds {
+		// A revision that is missing or no number counts as nothing known.
+		since, _ := strconv.ParseUint(known.Get(string(kind)), 10, 64)
+		if part, ok := f.group.Book().Since(kind, since); ok {
+			out.Kinds[kind] = part
 		}
-		f.adopt(address, state)
 	}
+	if at := f.group.Returned(); !at.IsZero() {
+		out.ReturnedMS = max(time.Since(at).Milliseconds(), 1)
+	}
+	return out
+}
+
+// stateClient asks other VMs.
+func stateClient() *http.Client {
+	return &http.Client{Timeout: askTimeout, Transport: &http.Transport{
+		DisableKeepAlives: true, DialContext: dialer(askTimeout).DialContext,
+	}}
 }
 
-func fetchState(ctx context.Context, client *http.Client, address string) (map[catalog.Kind]kindState, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+statePath, nil)
+// fetchState asks a VM for what this one lacks.
+func (f *Follower) fetchState(ctx context.Context, client *http.Client, address string) (peerState, error) {
+	known := url.Values{}
+	for _, kind := range catalog.Kinds {
+		known.Set(string(kind), strconv.FormatUint(f.group.Book().Complete(kind), 10))
+	}
+	var out peerState
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+statePath+"?"+known.Encode(), nil)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return out, trace.Wrap(err)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return out, trace.Wrap(err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, trace.Errorf("the VM answered %d", resp.StatusCode)
-	}
-	var out map[catalog.Kind]kindState
-	if err := json.NewDecoder(io.LimitReader(resp.Body, stateMost)).Decode(&out); err != nil {
-		return nil, trace.Wrap(err)
+		return out, trace.Errorf("the VM answered %d", resp.StatusCode)
 	}
-	return out, nil
+	return out, trace.Wrap(json.NewDecoder(io.LimitReader(resp.Body, stateMost)).Decode(&out))
 }
 
-// adopt takes what is newer than what is known here.
-func (f *Follower) adopt(from string, state map[catalog.Kind]kindState) {
-	for kind, s := range state {
-		handle, ok := f.handlers[kind]
-		if !ok || s.Revision <= f.book.revision(kind) {
+// adopt takes what another VM has told.
+func (f *Follower) adopt(from string, state peerState) {
+	if state.ReturnedMS > 0 {
+		f.group.ReturnedAt(time.Now().Add(-time.Duration(state.ReturnedMS) * time.Millisecond))
+	}
+	for _, kind := range catalog.Kinds {
+		part, ok := state.Kinds[kind]
+		if !ok {
 			continue
 		}
-		klog.InfoS("peers: newer state adopted", "from", from, "kind", kind, "revision", s.Revision, "objects", len(s.Objects))
-		handle.Replace(s.Objects)
+		if part.Whole || len(part.Objects)+len(part.Gone) > 0 {
+			klog.InfoS("peers: state taken", "from", from, "kind", kind, "whole", part.Whole, "objects", len(part.Objects),
+				"gone", len(part.Gone), "complete", part.Complete)
+		}
+		f.group.Adopt(kind, part)
 	}
 }
--- /dev/null
+++ b/internal/edge/relaying.go
@@ -0,0 +1,172 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/cranberrypier/cranberrypier/internal/catalog"
+	"github.com/cranberrypier/cranberrypier/internal/gossip"
+	"github.com/cranberrypier/cranberrypier/internal/logs"
+	"github.com/cranberrypier/cranberrypier/internal/relay"
+)
+
+const (
+	// ownWordTime is how long a VM that reads the store leaves a change that
+	// another VM told of to its own watch, which mostly hears of it just then.
+	ownWordTime = 200 * time.Millisecond
+	// verdictPause is the pause between the VMs of a zone in which they write a
+	// verdict; verdictMost is the longest time that one leaves it to others.
+	verdictPause = 150 * time.Millisecond
+	verdictMost  = 1500 * time.Millisecond
+)
+
+// relaying decides who reads the store, from what the VMs tell each other.
+type relaying struct {
+	mu       sync.Mutex
+	core     *relay.Core
+	decision relay.Decision
+	// hints are the VMs that know more; one waits at most.
+	hints chan hint
+}
+
+// hint is another VM's word that it knows more.
+type hint struct {
+	address string
+	view    *relay.View
+}
+
+func newRelaying(config relay.Config) *relaying {
+	return &relaying{core: relay.New(config), hints: make(chan hint, 1)}
+}
+
+// hear takes another VM's view.
+func (f *Follower) hear(now time.Time, m gossip.Message) {
+	if m.View == nil {
+		return
+	}
+	last := f.group.Book().Last()
+	f.relaying.mu.Lock()
+	behind := f.relaying.core.Heard(now, m.View, last)
+	f.relaying.mu.Unlock()
+	f.group.ProvedElsewhere(now.Add(-time.Duration(m.View.AgeMS) * time.Millisecond))
+	if !behind {
+		return
+	}
+	select {
+	case f.relaying.hints <- hint{address: m.From.Address, view: m.View}:
+	default: // the VM that is asked first most likely knows the same
+	}
+}
+
+// view is what this VM tells others.
+func (f *Follower) view(now time.Time) *relay.View {
+	f.relaying.mu.Lock()
+	defer f.relaying.mu.Unlock()
+	f.relaying.core.Proved(f.group.Proved())
+	return f.relaying.core.View(now, f.group.Book().Last())
+}
+
+// decide says whether this VM reads the store, with the live VMs of its zone.
+func (f *Follower) decide(now time.Time, zone []string) relay.Decision {
+	f.relaying.mu.Lock()
+	f.relaying.core.Proved(f.group.Proved())
+	d := f.relaying.core.Decide(now, zone)
+	changed := d.Reads != f.relaying.decision.Reads || f.relaying.decision.Reason == ""
+	f.relaying.decision = d
+	f.relaying.mu.Unlock()
+	if changed {
+		klog.InfoS("relay: decided", "reads", d.Reads, "because", d.Reason, "rank", d.Rank, "zoneVMs", len(zone), "proofAge", d.Age.Milliseconds())
+	}
+	f.group.SetMode(modeOf(d))
+	f.group.Vary(d.Shared)
+	return d
+}
+
+// modeOf is what the watchers do under a decision.
+func modeOf(d relay.Decision) catalog.Mode {
+	switch {
+	case d.Reads:
+		return catalog.Watching
+	case d.Lists:
+		return catalog.Listing
+	}
+	return catalog.Parked
+}
+
+// decided is the decision in force.
+func (f *Follower) decided() relay.Decision {
+	f.relaying.mu.Lock()
+	defer f.relaying.mu.Unlock()
+	return f.relaying.decision
+}
+
+func (f *Follower) readsGauge() float64 {
+	if f.decided().Reads {
+		return 1
+	}
+	return 0
+}
+
+func (f *Follower) ageGauge() float64 { return f.decided().Age.Seconds() }
+
+// patienceWithVerdict is how long this VM leaves the writing of a verdict to others.
+func (f *Follower) patienceWithVerdict() time.Duration {
+	d := f.decided()
+	if !d.Reads {
+		return verdictMost
+	}
+	return min(time.Duration(d.Rank)*verdictPause, verdictMost)
+}
+
+// askPeers takes from other VMs what they know and this one does not, until ctx
+// ends. A VM that does not answer is not asked again by itself: the next one
+// that knows more tells so soon, and without any the proof gets old.
+func (f *Follower) askPeers(ctx context.Context) {
+	client := stateClient()
+	for {
+		var h hint
+		select {
+		case <-ctx.Done():
+			return
+		case h = <-f.relaying.hints:
+		}
+		if f.decided().Reads && f.Ready() && !f.group.Away() {
+			if !pause(ctx, ownWordTime) {
+				return
+			}
+		}
+		if !h.view.Behind(f.group.Book().Last()) {
+			continue
+		}
+		state, err := f.fetchState(ctx, client, h.address)
+		if err != nil {
+			klog.InfoS("peers: state not fetched", "from", h.address, "err", logs.Err(err))
+			continue
+		}
+		f.adopt(h.address, state)
+	}
+}
+
+// pause waits for d; false when ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// relayConfig is what the decision depends on.
+func relayConfig(o Options, began time.Time) relay.Config {
+	b := o.Settings.Bounds
+	return relay.Config{
+		VM: o.Settings.Name, Bound: max(min(b.ConfigApply, b.DrainTimeout), leastBound), Began: began,
+		Alone: len(o.Settings.Seeds) == 0,
+	}
+}
--- a/internal/fake/platformside/store.go
+++ b/internal/fake/platformside/store.go
@@ -68,11 +68,12 @@
 	wake     chan struct{}
 	faults   StoreFaults
 	calls    map[string]int
+	watching map[string]int // watch calls in progress by kind
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, objects: make(map[string]map[string]Object), wake: make(chan struct{}), calls: make(map[string]int)}
+	return &Store{revision: 1, objects: make(map[string]map[string]Object), wake: make(chan struct{}), calls: make(map[string]int), watching: make(map[string]int)}
 }
 
 // SetFaults replaces the fault switches.
@@ -91,6 +92,19 @@
 	s.first = s.revision
 }
 
+// Watching counts the watch calls of a kind that are in progress.
+func (s *Store) Watching(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watching[kind]
+}
+
+func (s *Store) countWatching(kind string, change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watching[kind] += change
+}
+
 // Calls counts the calls of an operation: list, get, watch, write.
 func (s *Store) Calls(operation string) int {
 	s.mu.Lock()
@@ -258,6 +272,8 @@
 	s.calls["watch"]++
 	began := s.silenced
 	s.mu.Unlock()
+	s.countWatching(chi.URLParam(r, "kind"), 1)
+	defer s.countWatching(chi.URLParam(r, "kind"), -1)
 	for {
 		s.mu.Lock()
 		silent, gone, wake, at, down := s.silenced > began, after < s.first, s.wake, s.revision, s.faults.Silent
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -13,6 +13,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/canary"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
 	"github.com/cranberrypier/cranberrypier/internal/poison"
+	"github.com/cranberrypier/cranberrypier/internal/relay"
 )
 
 // Member is an entry VM as the others know it.
@@ -37,6 +38,8 @@
 	Config uint64 `cbor:"5,keyasint,omitempty"`
 	// Crashes are upstreams that broke off while they ran a request.
 	Crashes []poison.Mark `cbor:"6,keyasint,omitempty"`
+	// View is what From knows of the store.
+	View *relay.View `cbor:"7,keyasint,omitempty"`
 }
 
 const (
@@ -112,18 +115,23 @@
 	return out
 }
 
-// Addresses lists the addresses of the VMs that are there but this one, sorted.
-func (c *Core) Addresses(now time.Time) []string {
-	var out []string
-	for _, p := range c.peers {
-		if now.Sub(p.heard) < aliveTime {
-			out = append(out, p.Address)
+// Zone lists the names of the live VMs in this VM's availability zone, this one
+// among them, sorted.
+func (c *Core) Zone(now time.Time) []string {
+	out := []string{c.self.Name}
+	for name, p := range c.peers {
+		if p.Zone == c.self.Zone && now.Sub(p.heard) < aliveTime {
+			out = append(out, name)
 		}
 	}
 	slices.Sort(out)
 	return out
 }
 
+// Greet reports whether a VM was heard of for the first time since the last
+// round: it waits for an answer.
+func (c *Core) Greet() bool { return len(c.joined) > 0 }
+
 // Known lists the names of all VMs that may be there, sorted: bounds that are
 // divided between the VMs count also those that have been silent for a while.
 func (c *Core) Known() []string {
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -14,6 +14,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
 	"github.com/cranberrypier/cranberrypier/internal/logs"
 	"github.com/cranberrypier/cranberrypier/internal/poison"
+	"github.com/cranberrypier/cranberrypier/internal/relay"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 )
 
@@ -22,8 +23,9 @@
 	datagramMost = 1350
 	// loadsMost bounds the upstreams that one datagram tells of.
 	loadsMost = 24
-	// beatTime is the longest pause between two datagrams.
-	beatTime = time.Second
+	// beatTime is the longest pause between two datagrams: the proof that nothing
+	// of the store is missing has to reach all VMs within a second.
+	beatTime = 250 * time.Millisecond
 	// loadTime is the pause while this VM has requests in progress.
 	loadTime = 100 * time.Millisecond
 	// fanOut is how many VMs one round tells.
@@ -41,6 +43,8 @@
 	RollOuts func(now time.Time) []canary.Report
 	Config   func() uint64
 	Crashes  func(now time.Time) []poison.Mark
+	// View is what this VM knows of the store; nil while that is nothing.
+	View func(now time.Time) *relay.View
 	// Heard takes the other VM's part of a datagram.
 	Heard func(now time.Time, m Message)
 	// Changed is told the known VMs and the live starts after each round.
@@ -88,11 +92,11 @@
 	s.core.SetSeeds(seeds)
 }
 
-// Addresses lists the addresses of the live VMs but this one.
-func (s *Service) Addresses() []string {
+// Zone lists the live VMs of this VM's availability zone, this one among them.
+func (s *Service) Zone() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Addresses(time.Now())
+	return s.core.Zone(time.Now())
 }
 
 func (s *Service) receive() {
@@ -126,6 +130,7 @@
 	var last, members time.Time
 	began := time.Now()
 	busy := false
+	s.round(began, nil, false) // the others tell at once what they know
 	for {
 		select {
 		case <-ctx.Done():
@@ -139,7 +144,7 @@
 		if now.Sub(began) < settleTime {
 			every = membersFirst
 		}
-		due := len(loads) > 0 || busy || now.Sub(last) >= min(beatTime, every)
+		due := len(loads) > 0 || busy || now.Sub(last) >= beatTime || s.greets()
 		busy = len(loads) > 0
 		if !due {
 			continue
@@ -153,9 +158,15 @@
 	}
 }
 
+func (s *Service) greets() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Greet()
+}
+
 // round sends one datagram to each target.
 func (s *Service) round(now time.Time, loads []fleet.Load, members bool) {
-	m := Message{From: s.self, Loads: loads, Config: s.sources.Config()}
+	m := Message{From: s.self, Loads: loads, Config: s.sources.Config(), View: s.sources.View(now)}
 	s.mu.Lock()
 	if members {
 		m.Members = s.core.Members(now)
