fleet: Homes of prompts count less among few upstreams

Cause: with 9 replicas the prompts' homes draw requests to replicas that are busy, although the others soon hold the same prompts. A fixed discount had to fit 9 and 90 replicas.

Change: the discount is 0.5 among up to 9 upstreams and falls evenly to 0.3 at 60 and more; the second home's follows.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -20,12 +20,20 @@
 	tokenFloor = 400
 	// decodeCost is the slowdown by one running request.
 	decodeCost = 1.0
-	// homeDiscount is the share of a prompt's shared tokens that counts as
-	// uncached at the prompt's home upstream when this VM has not sent it there:
-	// other VMs probably have.
-	homeDiscount = 0.3
-	// secondDiscount is the same at the prompt's second home, where it spills to.
-	secondDiscount = 0.6
+	// homeFew and homeMany are the shares of a prompt's shared tokens that count
+	// as uncached at the prompt's home upstream when this VM has not sent it
+	// there: other VMs probably have. Few upstreams soon hold most prompts, so
+	// that an even load is worth more there. Both were measured: 0.3 to 0.5 at 9
+	// and at 90 upstreams.
+	homeFew  = 0.5
+	homeMany = 0.3
+	// fewUpstreams and manyUpstreams are the sizes at which these hold; the share
+	// changes evenly in between.
+	fewUpstreams  = 9
+	manyUpstreams = 60
+	// secondPart is the part of the rest that counts as uncached at the prompt's
+	// second home, where it spills to.
+	secondPart = 0.45
 	// readWeight is what reading a prompt takes from the other requests of an
 	// engine, as a multiple of the time that it takes.
 	readWeight = 2.0
@@ -58,6 +66,14 @@
 	Generates bool
 }
 
+// discounts are the shares of a prompt's shared tokens that count as uncached
+// at its home and at its second home, among n upstreams.
+func discounts(n int) (home, second float64) {
+	part := float64(n-fewUpstreams) / float64(manyUpstreams-fewUpstreams)
+	home = homeFew + min(max(part, 0), 1)*(homeMany-homeFew)
+	return home, home + secondPart*(1-home)
+}
+
 // Expect estimates the time to the first byte of an answer, in milliseconds.
 // For engines it is the reading of prompts ahead and of the request's own;
 // for plain services the queue for a slot and the call.
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -121,14 +121,15 @@
 		return choice{}, reason
 	}
 	home, second := homesOf(eligible, q.home())
+	atHome, atSecond := discounts(len(eligible))
 	best := choice{among: len(eligible)}
 	for _, m := range eligible {
 		discount := 1.0
 		switch m {
 		case home:
-			discount = homeDiscount
+			discount = atHome
 		case second:
-			discount = secondDiscount
+			discount = atSecond
 		}
 		c := f.candidate(now, q, m, discount)
 		best.backlog += c.Reading / float64(len(eligible))
