sitesoak: An interrupted soak ends its processes

Cause: pier-soak that was ended by a signal left its pier-edge processes running. Change: on an interrupt or SIGTERM it ends all that it started and exits with 3.

--- a/cmd/pier-soak/main.go
+++ b/cmd/pier-soak/main.go
@@ -1,13 +1,16 @@
 // Command pier-soak runs pier-edge processes under random faults and checks
 // what callers and replicas see.
 //
-// Exit codes: 0 every promise was kept, 1 one was broken, 2 wrong command line.
+// Exit codes: 0 every promise was kept, 1 one was broken, 2 wrong command line,
+// 3 interrupted.
 package main
 
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -28,11 +31,14 @@
 func main() {
 	var o options
 	kong.Parse(&o, kong.Name("pier-soak"), kong.Description("Random faults around real processes."))
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
 	failed := 0
 	for seed := o.Seed; seed < o.Seed+o.Seeds; seed++ {
 		dir := filepath.Join(o.Dir, fmt.Sprintf("seed-%d", seed))
 		r, err := sitesoak.Run(sitesoak.Options{
 			Program: o.Program, Dir: dir, Seed: seed, Duration: o.Duration, VMs: o.VMs, Callers: o.Callers,
+			Started: func(stopAll func()) { go endWith(interrupted, stopAll) },
 		})
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "pier-soak: seed %d: %v\n", seed, err)
@@ -50,3 +56,11 @@
 		os.Exit(1)
 	}
 }
+
+// endWith ends a run's processes and this one when it is interrupted: processes
+// that were started here must not outlive it.
+func endWith(interrupted <-chan os.Signal, stopAll func()) {
+	<-interrupted
+	stopAll()
+	os.Exit(3)
+}
--- a/internal/fake/sitesoak/run.go
+++ b/internal/fake/sitesoak/run.go
@@ -37,6 +37,9 @@
 	}
 	defer w.close()
 	defer w.stopAll()
+	if o.Started != nil {
+		o.Started(w.stopAll)
+	}
 	for _, v := range w.vms {
 		if err := v.start(); err != nil {
 			return Result{}, err
--- a/internal/fake/sitesoak/world.go
+++ b/internal/fake/sitesoak/world.go
@@ -25,6 +25,9 @@
 	Duration time.Duration
 	VMs      int
 	Callers  int
+	// Started is told once how to end all processes that the run starts; it may
+	// be nil.
+	Started func(stopAll func())
 }
 
 // replica is a stand-in behind a proxy; its place outlives its incarnations.
