--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -52,8 +52,8 @@
 // Book is what the group knows.
 func (g *Group) Book() *Book { return g.book }
 
-// Add makes a watcher part of the group, before any of them runs. The first one
-// with a short wait is the prober.
+// add makes a watcher part of the group, before any of them runs. The one with
+// the shortest wait is the prober.
 func (g *Group) add(w *Watcher) {
 	g.watchers = append(g.watchers, w)
 	g.handlers[w.kind] = w.handle
@@ -231,8 +231,7 @@
 	}
 }
 
-// Adopt takes what another VM has told of a kind. The times are those of this
-// VM's clock.
+// Adopt takes what another VM has told of a kind.
 func (g *Group) Adopt(kind Kind, p Part) {
 	if g.handlers[kind].Replace == nil {
 		return
@@ -252,7 +251,8 @@
 	g.book.Saw(kind, p.Last)
 }
 
-// ReturnedAt takes from another VM when the store was back after an absence.
+// ReturnedAt takes from another VM when the store was back after an absence, on
+// this VM's clock.
 func (g *Group) ReturnedAt(at time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
