--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -94,11 +94,11 @@
 type Mode int
 
 const (
-	// Watching: they list what they do not know and watch for changes.
+	// Watching watchers list what they do not know and watch for changes.
 	Watching Mode = iota
-	// Listing: they only list what they do not know.
+	// Listing watchers only list what they do not know.
 	Listing
-	// Parked: they call nothing, since other VMs read the store for this one.
+	// Parked watchers call nothing, since other VMs read the store for this one.
 	Parked
 )
 
--- a/internal/edge/relaying.go
+++ b/internal/edge/relaying.go
@@ -70,7 +70,7 @@
 }
 
 // decide says whether this VM reads the store, with the live VMs of its zone.
-func (f *Follower) decide(now time.Time, zone []string) relay.Decision {
+func (f *Follower) decide(now time.Time, zone []string) {
 	f.relaying.mu.Lock()
 	f.relaying.core.Proved(f.group.Proved())
 	d := f.relaying.core.Decide(now, zone)
@@ -82,7 +82,6 @@
 	}
 	f.group.SetMode(modeOf(d))
 	f.group.Vary(d.Shared)
-	return d
 }
 
 // modeOf is what the watchers do under a decision.
