--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -135,7 +135,7 @@
 // Decide tells whether the VM reads, with the live VMs of its zone, itself
 // included.
 func (c *Core) Decide(now time.Time, zone []string) Decision {
-	d := Decision{Lists: true, Reads: true, Shared: len(zone) >= sharedFrom, Rank: rank(c.cfg.VM, zone), Age: now.Sub(c.proved)}
+	d := Decision{Lists: true, Reads: true, Shared: len(zone) >= sharedFrom, Rank: rank(c.cfg.VM, zone), Age: c.age(now)}
 	switch {
 	case !c.cfg.Alone && now.Sub(c.cfg.Began) < settleTime:
 		d.Reads, d.Reason = false, Starting
@@ -154,6 +154,14 @@
 	return d
 }
 
+// age is that of the latest proof; without one, that of the process.
+func (c *Core) age(now time.Time) time.Duration {
+	if c.proved.IsZero() {
+		return now.Sub(c.cfg.Began)
+	}
+	return now.Sub(c.proved)
+}
+
 // patience is the age of a proof at which this VM reads the store itself.
 func (c *Core) patience() time.Duration {
 	full := freshShare * float64(c.cfg.Bound)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -56,6 +56,10 @@
 	}
 }
 
+func TestAgeWithoutAProof(t *testing.T) {
+	assert.Equal(t, 3*time.Second, core("a").Decide(begin.Add(3*time.Second), zoneOf(10)).Age)
+}
+
 func TestExactlyThreeReadersOfAZone(t *testing.T) {
 	zone := zoneOf(20)
 	readers := 0
