--- a/internal/catalog/book.go
+++ b/internal/catalog/cache.go
@@ -10,19 +10,19 @@
 // lacks older ones is given the whole list.
 const goneMost = 1024
 
-// Book keeps the objects as they came, by kind. What the store and other VMs
-// say is merged by revision: a word that is older than what is known of an
-// object changes nothing, so the order of the words does not matter.
-type Book struct {
+// Cache keeps the objects as they came, by kind. What the store and other VMs
+// say is merged by revision: a state that is older than the known one of an
+// object changes nothing, so the order of arrival does not matter.
+type Cache struct {
 	mu    sync.Mutex
-	kinds map[Kind]*shelf
+	kinds map[Kind]*kindState
 }
 
-// shelf is what is known of one kind.
+// kindState is what is known of one kind.
 //
 // Invariants: an object's name is in at most one of objects and gone; every
 // change up to complete is contained; every deletion above floor is in gone.
-type shelf struct {
+type kindState struct {
 	objects map[string]Object
 	// gone holds the revisions of deletions.
 	gone map[string]uint64
@@ -30,7 +30,8 @@
 	last uint64
 	// complete is the store's revision up to which nothing is missing.
 	complete uint64
-	floor    uint64
+	// floor is the revision up to which deletions are not in gone.
+	floor uint64
 	// known is true once the kind was listed.
 	known bool
 }
@@ -48,50 +49,50 @@
 	Last     uint64 `json:"last"`
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book { return &Book{kinds: make(map[Kind]*shelf)} }
+// NewCache returns an empty cache.
+func NewCache() *Cache { return &Cache{kinds: make(map[Kind]*kindState)} }
 
-func (b *Book) shelf(kind Kind) *shelf {
-	s := b.kinds[kind]
+func (c *Cache) kind(kind Kind) *kindState {
+	s := c.kinds[kind]
 	if s == nil {
-		s = &shelf{objects: make(map[string]Object), gone: make(map[string]uint64)}
-		b.kinds[kind] = s
+		s = &kindState{objects: make(map[string]Object), gone: make(map[string]uint64)}
+		c.kinds[kind] = s
 	}
 	return s
 }
 
 // Complete is the store's revision up to which nothing of a kind is missing;
 // zero when it was never listed.
-func (b *Book) Complete(kind Kind) uint64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.shelf(kind).complete
+func (c *Cache) Complete(kind Kind) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.kind(kind).complete
 }
 
 // Known reports whether a kind was ever listed.
-func (b *Book) Known(kind Kind) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.shelf(kind).known
+func (c *Cache) Known(kind Kind) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.kind(kind).known
 }
 
 // Last lists the revisions of the newest changes, in the order of Kinds.
-func (b *Book) Last() []uint64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (c *Cache) Last() []uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	out := make([]uint64, len(Kinds))
 	for i, kind := range Kinds {
-		out[i] = b.shelf(kind).last
+		out[i] = c.kind(kind).last
 	}
 	return out
 }
 
 // Replace takes the whole list of a kind, valid at a revision, and returns the
 // list that counts: with what is known to be newer.
-func (b *Book) Replace(kind Kind, list []Object, at uint64) []Object {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.shelf(kind)
+func (c *Cache) Replace(kind Kind, list []Object, at uint64) []Object {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.kind(kind)
 	if at < s.complete {
 		return s.sorted()
 	}
@@ -115,14 +116,14 @@
 }
 
 // Apply takes the changes up to a revision and returns those that are new.
-func (b *Book) Apply(kind Kind, changes []Change, at uint64) []Change {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.shelf(kind)
+func (c *Cache) Apply(kind Kind, changes []Change, at uint64) []Change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.kind(kind)
 	out := make([]Change, 0, len(changes))
-	for _, c := range changes {
-		if c.Deleted && s.drop(c.Object) || !c.Deleted && s.put(c.Object) {
-			out = append(out, c)
+	for _, change := range changes {
+		if change.Deleted && s.drop(change.Object) || !change.Deleted && s.put(change.Object) {
+			out = append(out, change)
 		}
 	}
 	s.complete = max(s.complete, at)
@@ -132,10 +133,10 @@
 
 // Since tells another VM what it lacks that knows everything up to a revision.
 // It reports false when the kind is not known here.
-func (b *Book) Since(kind Kind, revision uint64) (Part, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.shelf(kind)
+func (c *Cache) Since(kind Kind, revision uint64) (Part, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.kind(kind)
 	if !s.known {
 		return Part{}, false
 	}
@@ -161,16 +162,16 @@
 
 // Saw notes the revision of another VM's newest change once everything up to it
 // is known, so that the difference is not asked for again.
-func (b *Book) Saw(kind Kind, last uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.shelf(kind)
+func (c *Cache) Saw(kind Kind, last uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.kind(kind)
 	if last <= s.complete {
 		s.last = max(s.last, last)
 	}
 }
 
-func (s *shelf) put(o Object) bool {
+func (s *kindState) put(o Object) bool {
 	known, there := s.objects[o.Name]
 	gone, deleted := s.gone[o.Name]
 	if there && known.Revision >= o.Revision || deleted && gone >= o.Revision {
@@ -183,7 +184,7 @@
 }
 
 // drop notes a deletion; its revision is that of the object.
-func (s *shelf) drop(o Object) bool {
+func (s *kindState) drop(o Object) bool {
 	known, there := s.objects[o.Name]
 	if there && known.Revision > o.Revision || s.gone[o.Name] > o.Revision {
 		return false
@@ -195,7 +196,7 @@
 }
 
 // forget drops the older half of the deletions when there are too many.
-func (s *shelf) forget() {
+func (s *kindState) forget() {
 	if len(s.gone) <= goneMost {
 		return
 	}
@@ -212,7 +213,7 @@
 	}
 }
 
-func (s *shelf) sorted() []Object {
+func (s *kindState) sorted() []Object {
 	out := make([]Object, 0, len(s.objects))
 	for _, o := range s.objects {
 		out = append(out, o)
--- a/internal/catalog/book_test.go
+++ b/internal/catalog/cache_test.go
@@ -25,7 +25,7 @@
 }
 
 func TestOlderWordsChangeNothing(t *testing.T) {
-	b := NewBook()
+	b := NewCache()
 	b.Replace(Upstreams, []Object{{Name: "a", Revision: 3}, {Name: "b", Revision: 4}}, 5)
 	assert.Len(t, b.Apply(Upstreams, []Change{put("a", 9)}, 9), 1)
 	for name, old := range map[string]Change{
@@ -42,7 +42,7 @@
 }
 
 func TestAListKeepsWhatIsNewer(t *testing.T) {
-	b := NewBook()
+	b := NewCache()
 	b.Replace(Upstreams, []Object{{Name: "a", Revision: 3}, {Name: "b", Revision: 4}, {Name: "c", Revision: 5}}, 5)
 	b.Apply(Upstreams, []Change{put("new", 12), del("b", 11)}, 12)
 	// The list was read before, but is heard of after the changes.
@@ -53,7 +53,7 @@
 }
 
 func TestPartsForOtherVMs(t *testing.T) {
-	b := NewBook()
+	b := NewCache()
 	_, ok := b.Since(Upstreams, 0)
 	assert.False(t, ok, "a kind that was never listed")
 	b.Replace(Upstreams, []Object{{Name: "a", Revision: 3}, {Name: "b", Revision: 4}}, 5)
@@ -76,11 +76,11 @@
 // Three VMs hear of the same store by watches, lists and from each other, in
 // any order. Whoever knows everything up to a revision knows the store's state
 // at that revision, and what is newer was in the store at some time.
-func TestBooksAgreeWithTheStore(t *testing.T) {
+func TestCachesAgreeWithTheStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var history []Change
 		at := map[string]int{} // by name: the index of its newest change
-		books := []*Book{NewBook(), NewBook(), NewBook()}
+		caches := []*Cache{NewCache(), NewCache(), NewCache()}
 		state := func(revision uint64) []string {
 			now := map[string]Object{}
 			for _, c := range history {
@@ -93,7 +93,7 @@
 					now[c.Object.Name] = c.Object
 				}
 			}
-			s := shelf{objects: now}
+			s := kindState{objects: now}
 			return names(s.sorted())
 		}
 		list := func(revision uint64) (out []Object) {
@@ -105,10 +105,10 @@
 					delete(now, c.Object.Name)
 				}
 			}
-			return (&shelf{objects: now}).sorted()
+			return (&kindState{objects: now}).sorted()
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			b := books[rapid.IntRange(0, 2).Draw(t, "vm")]
+			b := caches[rapid.IntRange(0, 2).Draw(t, "vm")]
 			revision := uint64(len(history))
 			switch rapid.IntRange(0, 3).Draw(t, "what") {
 			case 0: // the store changes
@@ -128,12 +128,12 @@
 					b.Apply(Upstreams, history[b.Complete(Upstreams):], revision)
 				}
 			case 3: // another VM's word
-				from := books[rapid.IntRange(0, 2).Draw(t, "from")]
+				from := caches[rapid.IntRange(0, 2).Draw(t, "from")]
 				if p, ok := from.Since(Upstreams, b.Complete(Upstreams)); ok {
 					adopt(b, p)
 				}
 			}
-			for _, b := range books {
+			for _, b := range caches {
 				if b.Known(Upstreams) {
 					assert.Equal(t, state(b.Complete(Upstreams)), names(b.kinds[Upstreams].sorted()))
 				}
@@ -142,7 +142,7 @@
 	})
 }
 
-func adopt(b *Book, p Part) {
-	g := &Group{book: b, handlers: map[Kind]Handler{Upstreams: {Replace: func([]Object) {}, Apply: func([]Change) {}}}}
+func adopt(b *Cache, p Part) {
+	g := &Group{cache: b, handlers: map[Kind]Handler{Upstreams: {Replace: func([]Object) {}, Apply: func([]Change) {}}}}
 	g.Adopt(Upstreams, p)
 }
--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -23,7 +23,7 @@
 // renews the others, whose calls may have been sent into the outage and are
 // never answered. While other VMs read the store for this one, no watcher calls.
 type Group struct {
-	book *Book
+	cache *Cache
 	// taking lets one word at a time be taken: watchers and other VMs speak at once.
 	taking   sync.Mutex
 	handlers map[Kind]Handler
@@ -46,11 +46,11 @@
 
 // NewGroup returns a group without watchers.
 func NewGroup() *Group {
-	return &Group{book: NewBook(), handlers: make(map[Kind]Handler)}
+	return &Group{cache: NewCache(), handlers: make(map[Kind]Handler)}
 }
 
-// Book is what the group knows.
-func (g *Group) Book() *Book { return g.book }
+// Cache is what the group knows.
+func (g *Group) Cache() *Cache { return g.cache }
 
 // add makes a watcher part of the group, before any of them runs. The one with
 // the shortest wait is the prober.
@@ -158,7 +158,7 @@
 		return
 	}
 	g.failing = time.Now()
-	klog.InfoS("catalog: store lost", "kind", w.kind, "complete", g.book.Complete(w.kind), "err", logs.Err(err))
+	klog.InfoS("catalog: store lost", "kind", w.kind, "complete", g.cache.Complete(w.kind), "err", logs.Err(err))
 	if w != g.prober {
 		g.prober.renew(0)
 	}
@@ -200,7 +200,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, other := range g.watchers {
-		if g.book.Complete(other.kind) <= after {
+		if g.cache.Complete(other.kind) <= after {
 			other.setAgain(true)
 		}
 	}
@@ -219,14 +219,14 @@
 func (g *Group) replace(kind Kind, list []Object, at uint64) {
 	g.taking.Lock()
 	defer g.taking.Unlock()
-	g.handlers[kind].Replace(g.book.Replace(kind, list, at))
+	g.handlers[kind].Replace(g.cache.Replace(kind, list, at))
 }
 
 // apply takes changes of a kind.
 func (g *Group) apply(kind Kind, changes []Change, at uint64) {
 	g.taking.Lock()
 	defer g.taking.Unlock()
-	if fresh := g.book.Apply(kind, changes, at); len(fresh) > 0 {
+	if fresh := g.cache.Apply(kind, changes, at); len(fresh) > 0 {
 		g.handlers[kind].Apply(fresh)
 	}
 }
@@ -248,7 +248,7 @@
 		}
 		g.apply(kind, changes, p.Complete)
 	}
-	g.book.Saw(kind, p.Last)
+	g.cache.Saw(kind, p.Last)
 }
 
 // ReturnedAt takes from another VM when the store was back after an absence, on
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -115,7 +115,7 @@
 func (w *Watcher) known() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.again && w.group.book.Known(w.kind)
+	return !w.again && w.group.cache.Known(w.kind)
 }
 
 // rest waits for d, the end of ctx, or a renewal.
@@ -151,7 +151,7 @@
 	wait := w.wait()
 	call, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
-	after := w.group.book.Complete(w.kind)
+	after := w.group.cache.Complete(w.kind)
 	w.setCancel(cancel)
 	changes, at, err := w.source.Watch(call, w.kind, after, wait)
 	w.setCancel(nil)
--- a/internal/edge/peerstate.go
+++ b/internal/edge/peerstate.go
@@ -54,7 +54,7 @@
 	for _, kind := range catalog.Kinds {
 		// A revision that is missing or no number counts as nothing known.
 		since, _ := strconv.ParseUint(known.Get(string(kind)), 10, 64)
-		if part, ok := f.group.Book().Since(kind, since); ok {
+		if part, ok := f.group.Cache().Since(kind, since); ok {
 			out.Kinds[kind] = part
 		}
 	}
@@ -75,7 +75,7 @@
 func (f *Follower) fetchState(ctx context.Context, client *http.Client, address string) (peerState, error) {
 	known := url.Values{}
 	for _, kind := range catalog.Kinds {
-		known.Set(string(kind), strconv.FormatUint(f.group.Book().Complete(kind), 10))
+		known.Set(string(kind), strconv.FormatUint(f.group.Cache().Complete(kind), 10))
 	}
 	var out peerState
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+statePath+"?"+known.Encode(), nil)
--- a/internal/edge/relaying.go
+++ b/internal/edge/relaying.go
@@ -47,7 +47,7 @@
 	if m.View == nil {
 		return
 	}
-	last := f.group.Book().Last()
+	last := f.group.Cache().Last()
 	f.relaying.mu.Lock()
 	behind := f.relaying.core.Heard(now, m.View, last)
 	f.relaying.mu.Unlock()
@@ -66,7 +66,7 @@
 	f.relaying.mu.Lock()
 	defer f.relaying.mu.Unlock()
 	f.relaying.core.Proved(f.group.Proved())
-	return f.relaying.core.View(now, f.group.Book().Last())
+	return f.relaying.core.View(now, f.group.Cache().Last())
 }
 
 // decide says whether this VM reads the store, with the live VMs of its zone.
@@ -137,7 +137,7 @@
 				return
 			}
 		}
-		if !h.view.Behind(f.group.Book().Last()) {
+		if !h.view.Behind(f.group.Cache().Last()) {
 			continue
 		}
 		state, err := f.fetchState(ctx, client, h.address)
