--- a/internal/admission/run.go
+++ b/internal/admission/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/document"
 	"github.com/cranberrypier/cranberrypier/internal/membership"
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 	"github.com/cranberrypier/cranberrypier/internal/peer"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/fxamacker/cbor/v2"
@@ -188,7 +189,7 @@
 		case <-t.C:
 		case <-c.hurry:
 			// The share is too small: tell the allocator soon, not at once.
-			if !sleep(ctx, hurryPause) {
+			if !pause.For(ctx, hurryPause) {
 				return
 			}
 		}
@@ -196,17 +197,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *Controller) exchange(ctx context.Context) {
 	c.mu.Lock()
 	home, addr := c.home()
--- a/internal/delivery/run.go
+++ b/internal/delivery/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 )
 
 // inputQueue bounds the reports that wait for the request's goroutine. When it
@@ -236,7 +238,7 @@
 	r := &Reporter{id: v.Attempt, in: l.in, ctx: ctx, closed: l.closed}
 	l.d.runs.Go(func() {
 		defer cancel()
-		if !sleep(ctx, time.Until(v.NotBefore)) {
+		if !pause.For(ctx, time.Until(v.NotBefore)) {
 			return
 		}
 		l.t.Attempt(ctx, v, r)
@@ -246,20 +248,6 @@
 	})
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (l *loop) stop(id AttemptID) {
 	if cancel, ok := l.cancels[id]; ok {
 		cancel()
--- a/internal/distribution/submit.go
+++ b/internal/distribution/submit.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/cranberrypier/cranberrypier/internal/document"
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 	"github.com/cranberrypier/cranberrypier/internal/platform"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/cranberrypier/cranberrypier/internal/timeline"
@@ -29,7 +30,7 @@
 	}
 	next := s.Start()
 	for next.Done == nil {
-		sleep(ctx, next.Wait)
+		pause.For(ctx, next.Wait)
 		next = r.submitStep(ctx, s, next, until)
 	}
 	out := *next.Done
@@ -62,18 +63,6 @@
 	return s.HaveWritten(now(), err)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func pack(text []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w := gzip.NewWriter(&b)
--- a/internal/edge/relaying.go
+++ b/internal/edge/relaying.go
@@ -10,6 +10,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/catalog"
 	"github.com/cranberrypier/cranberrypier/internal/gossip"
 	"github.com/cranberrypier/cranberrypier/internal/logs"
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 	"github.com/cranberrypier/cranberrypier/internal/relay"
 )
 
@@ -136,7 +137,7 @@
 		case h = <-f.relaying.hints:
 		}
 		if f.decided().Reads && f.Ready() && !f.group.Away() {
-			if !pause(ctx, ownWordTime) {
+			if !pause.For(ctx, ownWordTime) {
 				return
 			}
 		}
@@ -149,24 +150,12 @@
 			continue
 		}
 		f.adopt(h.address, state)
-		if h.view.Behind(f.group.Cache().Last()) && !pause(ctx, askPause) {
+		if h.view.Behind(f.group.Cache().Last()) && !pause.For(ctx, askPause) {
 			return
 		}
 	}
 }
 
-// pause waits for d; false when ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // relayConfig is what the decision depends on.
 func relayConfig(o Options, began time.Time) relay.Config {
 	b := o.Settings.Bounds
--- a/internal/fake/engine/chat.go
+++ b/internal/fake/engine/chat.go
@@ -13,6 +13,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/fake/executions"
 	"github.com/cranberrypier/cranberrypier/internal/fake/faults"
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 	"github.com/cranberrypier/cranberrypier/internal/wire"
 )
 
@@ -136,7 +137,7 @@
 	if rule := j.e.Server.Switches.Select(faults.Late, j.call); rule != nil {
 		d += rule.Delay()
 	}
-	faults.Sleep(j.ctx, d)
+	pause.For(j.ctx, d)
 }
 
 // fails decides by the request's id whether a bad version fails it.
--- a/internal/fake/engine/stream.go
+++ b/internal/fake/engine/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/fake/executions"
 	"github.com/cranberrypier/cranberrypier/internal/fake/faults"
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 	"github.com/cranberrypier/cranberrypier/internal/wire"
 )
 
@@ -37,7 +38,7 @@
 		}
 		pace := j.e.state.pace(j.body.Model, time.Now())
 		next = next.Add(pace)
-		faults.Sleep(j.ctx, time.Until(next))
+		pause.For(j.ctx, time.Until(next))
 		if j.ctx.Err() != nil {
 			j.stop(sent)
 		}
@@ -81,7 +82,7 @@
 // whole sends the answer in one piece after the time that its tokens take.
 func (j *job) whole(id string, a Answer) {
 	for range a.Tokens {
-		faults.Sleep(j.ctx, j.e.state.pace(j.body.Model, time.Now()))
+		pause.For(j.ctx, j.e.state.pace(j.body.Model, time.Now()))
 		if j.ctx.Err() != nil {
 			j.stop(0)
 		}
--- a/internal/fake/faults/server.go
+++ b/internal/fake/faults/server.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cranberrypier/cranberrypier/internal/fake/executions"
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/cranberrypier/cranberrypier/internal/wire"
 )
@@ -171,7 +172,7 @@
 		if f.breaks(c) {
 			s.breakOff(r.Context(), f, c)
 		}
-		Sleep(ctx, time.Duration(f.SlowMS)*time.Millisecond)
+		pause.For(ctx, time.Duration(f.SlowMS)*time.Millisecond)
 		next.ServeHTTP(w, r.WithContext(ctx))
 		if errors.Is(context.Cause(ctx), errBroken) {
 			s.breakOff(r.Context(), s.Switches.Get(), c)
@@ -201,19 +202,6 @@
 	}
 }
 
-// Sleep waits for d or until ctx ends.
-func Sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // WriteJSON writes v with the status.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/fake/objectstore/objectstore.go
+++ b/internal/fake/objectstore/objectstore.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/cranberrypier/cranberrypier/internal/fake/faults"
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 	"github.com/cranberrypier/cranberrypier/internal/platform"
 	"github.com/cranberrypier/cranberrypier/internal/platform/memory"
 	"github.com/cranberrypier/cranberrypier/internal/result"
@@ -261,7 +262,7 @@
 // late delays an answer after the work.
 func (s *Service) late(r *http.Request) {
 	if rule := s.Server.Switches.Select(faults.Late, callName(r)); rule != nil {
-		faults.Sleep(r.Context(), rule.Delay())
+		pause.For(r.Context(), rule.Delay())
 	}
 }
 
--- a/internal/fake/rating/rating.go
+++ b/internal/fake/rating/rating.go
@@ -12,6 +12,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/document"
 	"github.com/cranberrypier/cranberrypier/internal/fake/engine"
 	"github.com/cranberrypier/cranberrypier/internal/fake/faults"
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 	"github.com/cranberrypier/cranberrypier/internal/wire"
 )
 
@@ -58,7 +59,7 @@
 	if rule := s.Server.Switches.Select(faults.Late, name); rule != nil {
 		took += rule.Delay()
 	}
-	faults.Sleep(r.Context(), took)
+	pause.For(r.Context(), took)
 	if s.Server.Switches.Select(faults.LostAnswer, name) != nil {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cranberrypier/cranberrypier/internal/document"
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 )
 
 const (
@@ -55,7 +56,7 @@
 		go r.setFaults(ctx, stand, f)
 	}
 	for _, a := range arrivals {
-		if !sleepUntil(ctx, r.start.Add(a.At)) {
+		if !pause.For(ctx, time.Until(r.start.Add(a.At))) {
 			break
 		}
 		r.launch(ctx, a)
@@ -106,7 +107,7 @@
 	case Twice:
 		var second sync.WaitGroup
 		second.Go(func() {
-			sleepUntil(ctx, due.Add(a.Delay))
+			pause.For(ctx, time.Until(due.Add(a.Delay)))
 			r.add(r.caller.send(ctx, attempt{a, 2, time.Now()}))
 		})
 		r.persist(ctx, a, 1, due)
@@ -134,7 +135,7 @@
 			return
 		}
 		wait := min(time.Duration(rec.RetryAfterMS)*time.Millisecond, maxRetryWait)
-		if !sleepUntil(ctx, time.Now().Add(wait)) {
+		if !pause.For(ctx, wait) {
 			return
 		}
 		number += 2
@@ -170,7 +171,7 @@
 }
 
 func (r *runner) setFaults(ctx context.Context, s *standIns, f FaultAt) {
-	if !sleepUntil(ctx, r.start.Add(f.At.D())) {
+	if !pause.For(ctx, time.Until(r.start.Add(f.At.D()))) {
 		return
 	}
 	if err := s.putFaults(ctx, f); err != nil {
@@ -179,15 +180,3 @@
 	}
 	fmt.Fprintf(r.o.Progress, "load: faults of %s: %s\n", f.StandIn, f.Set)
 }
-
-// sleepUntil waits; false when ctx ended first.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/cranberrypier/cranberrypier/internal/document"
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 	"github.com/cranberrypier/cranberrypier/internal/pki"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/cranberrypier/cranberrypier/internal/settings"
@@ -227,7 +228,7 @@
 			if err := c.round(e, client, f); err != nil {
 				return err
 			}
-			again = c.Follow && pause(e.Context, followInterval)
+			again = c.Follow && pause.For(e.Context, followInterval)
 		}
 		return nil
 	})
--- a/internal/operator/submit.go
+++ b/internal/operator/submit.go
@@ -11,6 +11,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/document"
 	"github.com/cranberrypier/cranberrypier/internal/membership"
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 )
 
@@ -63,7 +64,7 @@
 func (c *Client) putUntilDefinite(ctx context.Context, b []byte, base uint64, doubt *bool) (Accepted, error) {
 	for {
 		a, err := c.put(ctx, b, base, doubt)
-		if err == nil || definite(err) || !pause(ctx, pollInterval) {
+		if err == nil || definite(err) || !pause.For(ctx, pollInterval) {
 			return a, err
 		}
 	}
@@ -119,26 +120,13 @@
 		if err == nil && generation >= wanted {
 			return d, generation, nil
 		}
-		if !pause(ctx, pollInterval) {
+		if !pause.For(ctx, pollInterval) {
 			return nil, 0, trace.Wrap(result.New(result.DocumentUnknown, "no agent showed generation %d in time", wanted))
 		}
 		c.first = (c.first + 1) % len(c.agents)
 	}
 }
 
-// pause waits for d and reports whether it did; it returns early when ctx
-// ends.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Late is a member that does not have the wanted generation.
 type Late struct {
 	Member Member
@@ -163,7 +151,7 @@
 				return late, nil
 			}
 		}
-		if !pause(ctx, pollInterval) {
+		if !pause.For(ctx, pollInterval) {
 			return late, trace.Wrap(result.New(result.DocumentUnknown, "generation %d is not in force on every live VM yet", generation))
 		}
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/delivery"
 	"github.com/cranberrypier/cranberrypier/internal/document"
 	"github.com/cranberrypier/cranberrypier/internal/invariant"
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 	"github.com/cranberrypier/cranberrypier/internal/placement"
 	"github.com/cranberrypier/cranberrypier/internal/quarantine"
 	"github.com/cranberrypier/cranberrypier/internal/result"
@@ -94,7 +95,7 @@
 		if err == nil || result.Is(err, result.Quarantined) || !time.Now().Before(until) {
 			return err
 		}
-		pause(ctx, evidencePause)
+		pause.For(ctx, evidencePause)
 		if ctx.Err() != nil {
 			return err
 		}
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -15,6 +15,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/document"
 	"github.com/cranberrypier/cranberrypier/internal/invariant"
 	"github.com/cranberrypier/cranberrypier/internal/membership"
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 	"github.com/cranberrypier/cranberrypier/internal/peer"
 	"github.com/cranberrypier/cranberrypier/internal/timeline"
 	"github.com/cranberrypier/cranberrypier/internal/versions"
@@ -98,7 +99,7 @@
 		resp, sent, err := c.watch(ctx, after, agent)
 		if err != nil {
 			klog.V(1).Infof("control: The agent does not answer: %v.", err)
-			pause(ctx, watchPause)
+			pause.For(ctx, watchPause)
 			continue
 		}
 		c.take(resp, sent)
@@ -198,13 +199,3 @@
 	klog.Infof("control: Generation %d is in force.", idx.Generation())
 	c.recorder.Record("", "document.in_force", timeline.F("generation", decimal(idx.Generation())))
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/router/reports.go
+++ b/internal/router/reports.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cranberrypier/cranberrypier/internal/document"
+	"github.com/cranberrypier/cranberrypier/internal/pause"
 	"github.com/cranberrypier/cranberrypier/internal/placement"
 	"github.com/cranberrypier/cranberrypier/internal/upstream"
 )
@@ -62,7 +63,7 @@
 		if idx := p.index.Load(); idx != nil {
 			p.round(ctx, idx)
 		}
-		pause(ctx, reportPeriod/2+rand.N(reportPeriod))
+		pause.For(ctx, reportPeriod/2+rand.N(reportPeriod))
 	}
 }
 
