catalog, relay: Changes are told in small parts, readers ask elsewhere

Cause: at 299 VMs and 3,000 replicas a configuration took 2.2 of 3 s and the busiest VM sent 1.2 MB/s. What a VM lacks there is up to 1 MB, a question may take 0.6 s, and a link of 10 Mbit/s that serves many carries less: the question fails and is asked again. VMs without a proof asked in other zones too, although they read the store.

Change: a part tells of at most 200 changes, the oldest first, and up to which revision it is complete; the rest is asked for at once. Only the three readers of a zone ask in other zones. A whole list may take 2 s.

--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -16,12 +16,15 @@
 type Cache struct {
 	mu    sync.Mutex
 	kinds map[Kind]*kindState
+	// most bounds the changes in a part; tests make it smaller.
+	most int
 }
 
 // kindState is what is known of one kind.
 //
 // Invariants: an object's name is in at most one of objects and gone; every
-// change up to complete is contained; every deletion above floor is in gone.
+// object whose newest change is not above complete is known as the store has it;
+// every deletion above floor is in gone.
 type kindState struct {
 	objects map[string]Object
 	// gone holds the revisions of deletions.
@@ -36,21 +39,25 @@
 	known bool
 }
 
+// partMost bounds the changes that one answer tells of: some 100 KB, which the
+// smallest link carries in a tenth of a second.
+const partMost = 200
+
 // Part is what one VM tells another of a kind.
 type Part struct {
-	// Whole is true when Objects are all there are; else they and Gone are what
-	// changed since the revision that was asked for.
+	// Whole is true when Objects are all there are; else they and Gone are the
+	// oldest of what changed since the revision that was asked for.
 	Whole   bool              `json:"whole,omitempty"`
 	Objects []Object          `json:"objects,omitempty"`
 	Gone    map[string]uint64 `json:"gone,omitempty"`
-	// Complete is the store's revision up to which nothing is missing, and Last
-	// the revision of the newest change.
+	// Complete is the store's revision up to which no newest state of an object
+	// is missing, and Last the revision of the newest change.
 	Complete uint64 `json:"complete"`
 	Last     uint64 `json:"last"`
 }
 
 // NewCache returns an empty cache.
-func NewCache() *Cache { return &Cache{kinds: make(map[Kind]*kindState)} }
+func NewCache() *Cache { return &Cache{kinds: make(map[Kind]*kindState), most: partMost} }
 
 func (c *Cache) kind(kind Kind) *kindState {
 	s := c.kinds[kind]
@@ -150,18 +157,39 @@
 		p.Objects = s.sorted()
 		return p, true
 	}
-	for _, o := range s.sorted() {
+	p.Gone = make(map[string]uint64)
+	changes := s.since(revision)
+	if len(changes) > c.most {
+		changes = changes[:c.most]
+		p.Complete = changes[c.most-1].Object.Revision
+		p.Last = p.Complete
+	}
+	for _, change := range changes {
+		if change.Deleted {
+			p.Gone[change.Object.Name] = change.Object.Revision
+		} else {
+			p.Objects = append(p.Objects, change.Object)
+		}
+	}
+	return p, true
+}
+
+// since lists the newest change of each object that is above a revision, the
+// oldest first.
+func (s *kindState) since(revision uint64) []Change {
+	var out []Change
+	for _, o := range s.objects {
 		if o.Revision > revision {
-			p.Objects = append(p.Objects, o)
+			out = append(out, Change{Object: o})
 		}
 	}
-	p.Gone = make(map[string]uint64)
 	for name, at := range s.gone {
 		if at > revision {
-			p.Gone[name] = at
+			out = append(out, Change{Object: Object{Name: name, Revision: at}, Deleted: true})
 		}
 	}
-	return p, true
+	slices.SortFunc(out, func(a, b Change) int { return cmp.Compare(a.Object.Revision, b.Object.Revision) })
+	return out
 }
 
 // Saw notes the revision of another VM's newest change once everything up to it
--- a/internal/edge/peerstate.go
+++ b/internal/edge/peerstate.go
@@ -27,8 +27,10 @@
 	// configuration is 1 MB, and there are some hundred upstreams.
 	stateMost = 8 << 20
 	// askTimeout bounds one question; it leaves a VM time to read the store
-	// itself within the shortest bound.
-	askTimeout = 600 * time.Millisecond
+	// itself within the shortest bound. A whole list may take longer: the store
+	// does not answer a VM that asks for it.
+	askTimeout   = 600 * time.Millisecond
+	wholeTimeout = 2 * time.Second
 )
 
 // peerState is what a VM tells another of the store.
@@ -68,7 +70,7 @@
 
 // stateClient asks other VMs.
 func stateClient() *http.Client {
-	return &http.Client{Timeout: askTimeout, Transport: &http.Transport{
+	return &http.Client{Transport: &http.Transport{
 		DisableKeepAlives: true, DialContext: dialer(askTimeout).DialContext,
 	}}
 }
@@ -80,9 +82,13 @@
 	for _, kind := range catalog.Kinds {
 		known.Set(string(kind), strconv.FormatUint(f.group.Cache().Complete(kind), 10))
 	}
+	timeout := askTimeout
 	if f.group.Away() {
 		known.Set(wholeKey, "")
+		timeout = wholeTimeout
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	var out peerState
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+statePath+"?"+known.Encode(), nil)
 	if err != nil {
@@ -99,8 +105,8 @@
 	return out, trace.Wrap(json.NewDecoder(io.LimitReader(resp.Body, stateMost)).Decode(&out))
 }
 
-// adopt takes what another VM has told.
-func (f *Follower) adopt(from string, state peerState) {
+// adopt takes what another VM has told and reports whether there was anything new.
+func (f *Follower) adopt(from string, state peerState) (anything bool) {
 	if state.ReturnedMS > 0 {
 		f.group.ReturnedAt(time.Now().Add(-time.Duration(state.ReturnedMS) * time.Millisecond))
 	}
@@ -110,9 +116,11 @@
 			continue
 		}
 		if part.Whole || len(part.Objects)+len(part.Gone) > 0 {
+			anything = true
 			klog.InfoS("peers: state taken", "from", from, "kind", kind, "whole", part.Whole, "objects", len(part.Objects),
 				"gone", len(part.Gone), "complete", part.Complete)
 		}
 		f.group.Adopt(kind, part)
 	}
+	return anything
 }
--- a/internal/edge/relaying.go
+++ b/internal/edge/relaying.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -18,8 +19,8 @@
 	// ownWordTime is how long a VM that reads the store leaves a change that
 	// another VM told of to its own watch, which mostly hears of it just then.
 	ownWordTime = 200 * time.Millisecond
-	// askPause follows an answer that left this VM behind: the next hint is most
-	// likely of the same kind.
+	// askPause follows a question that left this VM behind: the next hint most
+	// likely does as well.
 	askPause = 100 * time.Millisecond
 	// verdictPause is the pause between the VMs of a zone in which they write a
 	// verdict; verdictMost is the longest time that one leaves it to others.
@@ -141,21 +142,25 @@
 				return
 			}
 		}
-		if !h.view.Behind(f.group.Cache().Last()) {
-			continue
+		for h.view.Behind(f.group.Cache().Last()) && f.ask(ctx, client, h.address) {
+			// An answer tells of the oldest changes only, so more are asked for.
 		}
-		state, err := f.fetchState(ctx, client, h.address)
-		if err != nil {
-			klog.InfoS("peers: state not fetched", "from", h.address, "err", logs.Err(err))
-			continue
-		}
-		f.adopt(h.address, state)
 		if h.view.Behind(f.group.Cache().Last()) && !pause.For(ctx, askPause) {
 			return
 		}
 	}
 }
 
+// ask takes what another VM tells and reports whether there was anything new.
+func (f *Follower) ask(ctx context.Context, client *http.Client, address string) bool {
+	state, err := f.fetchState(ctx, client, address)
+	if err != nil {
+		klog.InfoS("peers: state not fetched", "from", address, "err", logs.Err(err))
+		return false
+	}
+	return f.adopt(address, state)
+}
+
 // relayConfig is what the decision depends on.
 func relayConfig(o Options, began time.Time) relay.Config {
 	b := o.Settings.Bounds
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -96,9 +96,9 @@
 }
 
 // Asks reports whether the VM asks another one that knows more. Within the zone
-// it always does. Bytes between zones cost something, so only a VM that reads
-// the store asks elsewhere: what the store told it may be late or lost.
-func (d Decision) Asks(sameZone bool) bool { return sameZone || d.Reads }
+// it always does. Bytes between zones cost something, so only the zone's readers
+// ask elsewhere: what the store told them may be late or lost.
+func (d Decision) Asks(sameZone bool) bool { return sameZone || d.Rank < readersPerZone }
 
 // Core is the decision's state. It is not safe for concurrent use.
 type Core struct {
