--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,6 +63,7 @@
 // passThroughRouter starts a simplified router that forwards chats to one engine
 // and service requests to one service, without claims.
 func passThroughRouter(t *testing.T, e *engine.Engine, s *plainservice.Service) *httptest.Server {
+	var requests atomic.Int64
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		address := e.Server.Address()
 		path := r.URL.Path
@@ -70,7 +73,7 @@
 		body, _ := io.ReadAll(r.Body)
 		body = bytes.Replace(body, []byte(`"auto"`), []byte(`"`+target+`"`), 1)
 		req, _ := http.NewRequestWithContext(r.Context(), r.Method, "http://"+address+path, bytes.NewReader(body))
-		id := time.Now().Format("150405.000000000") + r.Header.Get(headerIdempotencyKey)
+		id := fmt.Sprint(requests.Add(1), r.Header.Get(headerIdempotencyKey))
 		req.Header.Set(wire.HeaderRequestID, id)
 		req.Header.Set(wire.HeaderClaimKey, r.Header.Get(headerIdempotencyKey))
 		resp, err := http.DefaultTransport.RoundTrip(req)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -166,30 +167,45 @@
 	return trace.Wrap(Body(r.Body).Decode(out))
 }
 
+// callStream is the part of a QUIC stream that a call uses.
+type callStream interface {
+	io.ReadWriteCloser
+	CancelRead(quic.StreamErrorCode)
+	CancelWrite(quic.StreamErrorCode)
+}
+
 // roundTrip sends the request and reads the response. When ctx is done, it
 // cancels the stream in both directions, which also cancels the handler's
 // context.
-func roundTrip(ctx context.Context, s *quic.Stream, r *requestFrame) (*responseFrame, error) {
+func roundTrip(ctx context.Context, s callStream, r *requestFrame) (*responseFrame, error) {
 	stop := context.AfterFunc(ctx, func() {
 		s.CancelWrite(0)
 		s.CancelRead(0)
 	})
 	defer stop()
 	defer s.CancelRead(0)
-	if err := writeFrame(s, r); err != nil {
+	sendErr := writeFrame(s, r)
+	if sendErr != nil && !canceledByServer(sendErr) {
 		s.CancelWrite(0)
-		return nil, trace.Wrap(err)
+		return nil, trace.Wrap(sendErr)
 	}
-	if err := s.Close(); err != nil {
-		return nil, trace.Wrap(err)
+	if sendErr == nil {
+		sendErr = s.Close()
 	}
 	var response responseFrame
 	if err := readFrame(s, &response); err != nil {
-		return nil, trace.Wrap(err)
+		return nil, trace.Wrap(errors.Join(err, sendErr))
 	}
 	return &response, nil
 }
 
+// canceledByServer reports whether an error of sending only means that the server
+// reads no further. It may have responded already, and its response counts.
+func canceledByServer(err error) bool {
+	var canceled *quic.StreamError
+	return errors.As(err, &canceled) && canceled.Remote
+}
+
 // transportError returns the coded error for a transport failure after the first
 // byte may have been sent.
 func transportError(ctx context.Context, addr string, err error) error {
