--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -5,9 +5,6 @@
 package canary
 
 import (
-	"maps"
-	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,11 +52,6 @@
 	// the old version. Meanwhile the VMs report to each other which of the sessions
 	// that the trial would move already use the old version.
 	sessionExchangeWindow = 2500 * time.Millisecond
-	// maxReportedSessions is the maximum number of sessions in one report.
-	maxReportedSessions = 48
-	// maxRelayedVMs is the maximum number of other VMs whose counters one report
-	// includes.
-	maxRelayedVMs = 6
 	// completionDelay is how long after the ramp a roll-out may be completed at the
 	// earliest, so that all VMs have finished the ramp.
 	completionDelay = 1500 * time.Millisecond
@@ -80,25 +72,13 @@
 	OldRunning int `cbor:"3,keyasint"`
 }
 
-// Report is a VM's state of a roll-out, sent to the other VMs.
-type Report struct {
-	Service    string `cbor:"1,keyasint"`
-	NewVersion string `cbor:"2,keyasint"`
-	// AgeMS is the time since any VM first saw the roll-out.
-	AgeMS int64 `cbor:"3,keyasint"`
-	// JudgedBad is true once any VM has judged the version as bad; it is never reset.
-	JudgedBad bool `cbor:"4,keyasint"`
-	// CountersByIncarnation holds counters by VM incarnation; a report includes only
-	// some VMs.
-	CountersByIncarnation map[string]Counters `cbor:"5,keyasint"`
-	// OldSessions holds the hashes of sessions that belong to the trial's share but
-	// use the old version.
-	OldSessions []uint32 `cbor:"6,keyasint,omitempty"`
-}
-
 // rollOutState is the state of one roll-out.
 type rollOutState struct {
-	rollOut               RollOut
+	// rollOut.Phase is the latest phase that was reported. It never goes back.
+	rollOut RollOut
+	// storedPhase is the phase in the store. It goes back when the store comes back
+	// from an older copy; the verdict is then due again.
+	storedPhase           Phase
 	startedAt             time.Time // when any VM first saw the roll-out, on this VM's clock
 	judgedBad             bool
 	countersByIncarnation map[string]Counters
@@ -114,27 +94,63 @@
 	rollOuts       map[string]*rollOutState
 	stableVersions map[string]map[string]bool
 	sessions       *sessions
+	// replacedTargets holds, by service, the targets of earlier roll-outs.
+	replacedTargets map[string]map[string]bool
+	// restoredUntil is the end of the time after StoreRestored in which roll-outs to
+	// replaced targets are ignored.
+	restoredUntil time.Time
 }
 
+// rewriteTimeout is how long after the store came back from an older copy a
+// roll-out that had been replaced is ignored. Operators write the latest one again
+// in this time.
+const rewriteTimeout = 10 * time.Second
+
 // New returns a core without roll-outs. incarnation must be unique for each start of
 // a VM; maxExposure is the largest share of requests that a bad version may receive.
 func New(incarnation string, maxExposure float64, sessionTTL time.Duration) *Core {
 	return &Core{
 		incarnation: incarnation, maxExposure: maxExposure, rollOuts: make(map[string]*rollOutState),
 		stableVersions: make(map[string]map[string]bool), sessions: newSessions(sessionTTL),
+		replacedTargets: make(map[string]map[string]bool),
 	}
 }
 
-// SetRollOut applies the newest state of a roll-out.
-func (c *Core) SetRollOut(now time.Time, o RollOut) {
+// StoreRestored records that the store came back from an older copy.
+func (c *Core) StoreRestored(now time.Time) { c.restoredUntil = now.Add(rewriteTimeout) }
+
+// SetRollOut applies the newest state of a roll-out. It returns false if it ignored
+// the state, because the store came back from an older copy that still has a
+// roll-out which was replaced since.
+func (c *Core) SetRollOut(now time.Time, o RollOut) bool {
 	r := c.rollOuts[o.Service]
 	if r == nil || r.rollOut.NewVersion != o.NewVersion {
-		c.rollOuts[o.Service] = &rollOutState{rollOut: o, startedAt: now, countersByIncarnation: map[string]Counters{c.incarnation: newCounters()}, oldSessions: make(map[uint32]bool)}
-		return
+		if now.Before(c.restoredUntil) && c.replacedTargets[o.Service][o.NewVersion] {
+			return false
+		}
+		c.recordReplaced(r)
+		c.rollOuts[o.Service] = &rollOutState{rollOut: o, storedPhase: o.Phase, startedAt: now, countersByIncarnation: map[string]Counters{c.incarnation: newCounters()}, oldSessions: make(map[uint32]bool)}
+		return true
 	}
 	phase := max(r.rollOut.Phase, o.Phase) // a reported phase is final
 	r.rollOut = o
 	r.rollOut.Phase = phase
+	r.storedPhase = o.Phase
+	return true
+}
+
+// recordReplaced remembers the target of a roll-out that another one replaces or
+// that is removed; nil is ignored.
+func (c *Core) recordReplaced(r *rollOutState) {
+	if r == nil {
+		return
+	}
+	targets := c.replacedTargets[r.rollOut.Service]
+	if targets == nil {
+		targets = make(map[string]bool)
+		c.replacedTargets[r.rollOut.Service] = targets
+	}
+	targets[r.rollOut.NewVersion] = true
 }
 
 // RemoveRollOut removes a roll-out that operators have deleted.
@@ -143,6 +159,7 @@
 	if r == nil {
 		return
 	}
+	c.recordReplaced(r)
 	if r.rollOut.Phase == Completed {
 		c.stableVersions[service] = map[string]bool{r.rollOut.NewVersion: true}
 	}
@@ -294,215 +311,3 @@
 	}
 	r.countersByIncarnation[c.incarnation] = own
 }
-
-// Thresholds for judging a version as bad.
-const (
-	// minBadOutcomes is the number of bad outcomes on the new version below which it
-	// is never judged as bad.
-	minBadOutcomes = 3
-	// minBadShareIncrease is how much the new version's share of bad outcomes must
-	// exceed the old version's.
-	minBadShareIncrease = 0.12
-	// minBadShareRatio: the new version's share of bad outcomes must be more than this
-	// multiple of the old version's, or more than halfway between the old version's
-	// and 1 if that is less.
-	minBadShareRatio = 3.0
-)
-
-// pooledTallies sums the counters of all VMs, by route and in total.
-func (r *rollOutState) pooledTallies() (newTallies, oldTallies map[string]Tally, oldRunning int) {
-	newTallies, oldTallies = make(map[string]Tally), make(map[string]Tally)
-	for _, vm := range r.countersByIncarnation {
-		addTallies(newTallies, vm.New)
-		addTallies(oldTallies, vm.Old)
-		oldRunning += vm.OldRunning
-	}
-	return newTallies, oldTallies, oldRunning
-}
-
-// allRoutes is the key of the sum over all routes in pooled tallies.
-const allRoutes = ""
-
-func addTallies(sum, part map[string]Tally) {
-	for route, t := range part {
-		for _, k := range []string{route, allRoutes} {
-			s := sum[k]
-			s.Total += t.Total
-			s.Bad += t.Bad
-			sum[k] = s
-		}
-	}
-}
-
-// isWorse reports whether the new version is worse on a route than the old one.
-func isWorse(newTally, oldTally Tally) bool {
-	if newTally.Bad < minBadOutcomes {
-		return false
-	}
-	// One more good outcome on each side keeps small samples from being decisive.
-	newShare := float64(newTally.Bad) / float64(newTally.Total+1)
-	oldShare := float64(oldTally.Bad) / float64(oldTally.Total+1)
-	return newShare > math.Max(oldShare+minBadShareIncrease, math.Min(minBadShareRatio*oldShare, (1+oldShare)/2))
-}
-
-// Verdict is a change of phase that should be reported to operators.
-type Verdict struct {
-	RollOut RollOut
-	Phase   Phase
-	// New and Old are the pooled tallies over all routes.
-	New      Tally
-	Old      Tally
-	Progress float64
-	// Route is a route on which the new version is worse. It is empty for the sum
-	// over all routes, or if another VM judged the version as bad.
-	Route string
-}
-
-// Tick judges the roll-outs in progress and returns a verdict on each that can be
-// completed or must be reverted. A version judged as bad receives no more requests.
-func (c *Core) Tick(now time.Time) []Verdict {
-	var out []Verdict
-	for _, r := range c.rollOuts {
-		if r.rollOut.Phase != InProgress {
-			continue
-		}
-		newTallies, oldTallies, running := r.pooledTallies()
-		v := Verdict{RollOut: r.rollOut, New: newTallies[allRoutes], Old: oldTallies[allRoutes], Progress: r.progress(now)}
-		for route := range newTallies {
-			if isWorse(newTallies[route], oldTallies[route]) {
-				r.judgedBad = true
-				v.Route = route
-			}
-		}
-		switch {
-		case r.judgedBad:
-			v.Phase = Reverted
-		case r.canComplete(now, running):
-			v.Phase = Completed
-		default:
-			continue
-		}
-		out = append(out, v)
-	}
-	return out
-}
-
-func (r *rollOutState) canComplete(now time.Time, oldRunning int) bool {
-	progress := r.progress(now)
-	rampDone := now.Sub(r.startedAt) > time.Duration(rampEnd*float64(r.rollOut.Duration))+completionDelay
-	return rampDone && (oldRunning == 0 || progress >= forcedCompletion)
-}
-
-// Reports returns this VM's state of the roll-outs in progress, for other VMs.
-func (c *Core) Reports(now time.Time) []Report {
-	var out []Report
-	for _, r := range c.rollOuts {
-		if r.rollOut.Phase != InProgress {
-			continue
-		}
-		out = append(out, Report{
-			Service: r.rollOut.Service, NewVersion: r.rollOut.NewVersion, AgeMS: now.Sub(r.startedAt).Milliseconds(),
-			JudgedBad: r.judgedBad, CountersByIncarnation: c.reportedCounters(r), OldSessions: c.reportedOldSessions(now, r),
-		})
-	}
-	return out
-}
-
-// reportedCounters returns this VM's own counters and those of some other VMs,
-// which rotate from report to report.
-func (c *Core) reportedCounters(r *rollOutState) map[string]Counters {
-	names := slices.Sorted(maps.Keys(r.countersByIncarnation))
-	out := map[string]Counters{c.incarnation: r.countersByIncarnation[c.incarnation].clone()}
-	for range min(maxRelayedVMs, len(names)) {
-		r.cursor++
-		name := names[r.cursor%len(names)]
-		out[name] = r.countersByIncarnation[name].clone()
-	}
-	return out
-}
-
-// reportedOldSessions returns the hashes of sessions that belong to the trial's
-// share but use the old version.
-func (c *Core) reportedOldSessions(now time.Time, r *rollOutState) []uint32 {
-	if r.progress(now) >= trialEnd {
-		return nil
-	}
-	inTrial := func(session string) bool { return hashFraction(r.rollOut.NewVersion+session) < c.newVersionShare(0) }
-	for _, session := range c.sessions.matching(now, r.rollOut.Service, inTrial, func(v string) bool { return v != r.rollOut.NewVersion }) {
-		r.oldSessions[sessionHash(session)] = true
-	}
-	hashes := slices.Sorted(maps.Keys(r.oldSessions))
-	if len(hashes) <= maxReportedSessions {
-		return hashes
-	}
-	out := make([]uint32, 0, maxReportedSessions)
-	for i := range maxReportedSessions {
-		out = append(out, hashes[(r.cursor+i)%len(hashes)])
-	}
-	return out
-}
-
-// sessionHash returns a short hash that stands for a session in reports.
-func sessionHash(session string) uint32 { return uint32(xxhash.Sum64String(session)) }
-
-func (c Counters) clone() Counters {
-	out := newCounters()
-	out.OldRunning = c.OldRunning
-	for k, v := range c.New {
-		out.New[k] = v
-	}
-	for k, v := range c.Old {
-		out.Old[k] = v
-	}
-	return out
-}
-
-// total returns the number of outcomes, which never decreases. Merge keeps the state
-// with the higher total; with equal totals, the state that arrives later.
-func (c Counters) total() uint64 {
-	var sum uint64
-	for _, tallies := range []map[string]Tally{c.New, c.Old} {
-		for _, t := range tallies {
-			sum += uint64(t.Total)
-		}
-	}
-	return sum
-}
-
-// Merge applies another VM's report. It returns true if the report judges a version
-// as bad that this VM had not judged as bad before.
-func (c *Core) Merge(now time.Time, report Report) bool {
-	r := c.rollOuts[report.Service]
-	if r == nil || r.rollOut.NewVersion != report.NewVersion {
-		return false
-	}
-	if startedAt := now.Add(-time.Duration(report.AgeMS) * time.Millisecond); startedAt.Before(r.startedAt) {
-		r.startedAt = startedAt
-	}
-	for _, session := range report.OldSessions {
-		r.oldSessions[session] = true
-	}
-	for name, counters := range report.CountersByIncarnation {
-		if name == c.incarnation {
-			continue
-		}
-		if old, ok := r.countersByIncarnation[name]; !ok || counters.total() >= old.total() {
-			r.countersByIncarnation[name] = counters
-		}
-	}
-	newlyJudgedBad := report.JudgedBad && !r.judgedBad
-	r.judgedBad = r.judgedBad || report.JudgedBad
-	return newlyJudgedBad
-}
-
-// ClearDepartedVMs clears the running counts of VMs that are no longer live.
-func (c *Core) ClearDepartedVMs(live map[string]bool) {
-	for _, r := range c.rollOuts {
-		for name, counters := range r.countersByIncarnation {
-			if name != c.incarnation && !live[name] && counters.OldRunning > 0 {
-				counters.OldRunning = 0
-				r.countersByIncarnation[name] = counters
-			}
-		}
-	}
-}
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -297,3 +297,26 @@
 		}
 	}
 }
+
+// The store may come back from an older copy, which lacks the verdict or still has
+// an earlier roll-out.
+func TestStoreRestored(t *testing.T) {
+	c := newWithRollOut("vm-1")
+	done := RollOut{Service: service, NewVersion: newVersion, Duration: duration, Phase: Completed}
+	require.True(t, c.SetRollOut(at(20*time.Second), done))
+	assert.Empty(t, c.Tick(at(21*time.Second)))
+	c.StoreRestored(at(22 * time.Second))
+	withRollOut(c)
+	verdicts := c.Tick(at(22 * time.Second))
+	require.Len(t, verdicts, 1, "the verdict is due again")
+	assert.Equal(t, Completed, verdicts[0].Phase)
+	require.True(t, c.SetRollOut(at(23*time.Second), done))
+	assert.Empty(t, c.Tick(at(23*time.Second)))
+
+	next := RollOut{Service: service, NewVersion: "v3", Duration: duration}
+	require.True(t, c.SetRollOut(at(24*time.Second), next))
+	c.StoreRestored(at(25 * time.Second))
+	assert.False(t, c.SetRollOut(at(25*time.Second), done), "a roll-out that was replaced")
+	assert.True(t, c.SetRollOut(at(25*time.Second), next))
+	assert.True(t, c.SetRollOut(at(25*time.Second).Add(rewriteTimeout), done), "operators may go back to a version")
+}
--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -85,6 +85,43 @@
 	return c.kind(kind).completeRevision
 }
 
+// Era returns the latest era of the store that any kind was read in.
+func (c *Cache) Era() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era()
+}
+
+func (c *Cache) era() uint64 {
+	era := uint64(0)
+	for _, s := range c.kinds {
+		era = max(era, EraOf(s.completeRevision))
+	}
+	return era
+}
+
+// IsOneEra reports whether all kinds that are cached were read in the same era.
+// Otherwise the copy of some kinds is older than the store.
+func (c *Cache) IsOneEra() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	era := c.era()
+	for _, s := range c.kinds {
+		if s.listed && EraOf(s.completeRevision) < era {
+			return false
+		}
+	}
+	return true
+}
+
+// isEarlierEra reports whether a kind is cached from an earlier era of the store
+// than others.
+func (c *Cache) isEarlierEra(kind Kind) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return EraOf(c.kind(kind).completeRevision) < c.era()
+}
+
 // Listed reports whether a kind has been listed.
 func (c *Cache) Listed(kind Kind) bool {
 	c.mu.Lock()
@@ -124,6 +161,8 @@
 		}
 	}
 	s.completeRevision, s.tombstoneFloor, s.listed = revision, revision, true
+	// A kind without changes in an era still shows that it was read in it.
+	s.latest = max(s.latest, JoinRevision(EraOf(revision), 0))
 	for name, deletedAt := range s.tombstones {
 		if deletedAt <= revision {
 			delete(s.tombstones, name)
@@ -140,7 +179,7 @@
 	s := c.kind(kind)
 	out := make([]Change, 0, len(changes))
 	for _, change := range changes {
-		if change.Deleted && s.remove(change.Object) || !change.Deleted && s.put(change.Object) {
+		if change.Deleted && s.remove(change.Object) || !change.Deleted && !s.isDeleted(change.Object) && s.put(change.Object) {
 			out = append(out, change)
 		}
 	}
@@ -216,6 +255,13 @@
 	}
 }
 
+// isDeleted reports whether an object that is not cached was deleted after the given
+// state of it: the copy is complete beyond that state. The tombstone may be gone.
+func (s *kindState) isDeleted(o Object) bool {
+	_, found := s.objects[o.Name]
+	return !found && s.listed && o.Revision <= s.completeRevision
+}
+
 func (s *kindState) put(o Object) bool {
 	known, found := s.objects[o.Name]
 	deletedAt, deleted := s.tombstones[o.Name]
--- a/internal/catalog/cache_test.go
+++ b/internal/catalog/cache_test.go
@@ -138,7 +138,7 @@
 }
 
 func applyUpdate(c *Cache, u Update) {
-	g := &Group{cache: c, handlers: map[Kind]Handler{Upstreams: {Replace: func([]Object) {}, Apply: func([]Change) {}}}}
+	g := &Group{cache: c, handlers: map[Kind]Handler{Upstreams: {Replace: func([]Object, bool) {}, Apply: func([]Change) {}}}}
 	g.ApplyUpdate(Upstreams, u)
 }
 
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -26,7 +26,7 @@
 // Object is an object in the store.
 type Object struct {
 	Name string
-	// Revision is the store's revision counter at the object's last change.
+	// Revision is the revision of the object's last change; see JoinRevision.
 	Revision uint64
 	// Deleting is true when the object is marked for deletion.
 	Deleting bool
@@ -47,9 +47,11 @@
 	List(ctx context.Context, kind Kind) ([]Object, uint64, error)
 	// Watch waits at most wait for changes after a revision. It returns the changes
 	// and the revision up to which they are complete. It fails with the code
-	// PlatformGone when the store no longer keeps the history after the revision.
+	// PlatformGone when the store no longer keeps the history after the revision, or
+	// when the revision is of an earlier era than the store's.
 	Watch(ctx context.Context, kind Kind, after uint64, wait time.Duration) ([]Change, uint64, error)
 	// WriteStatus replaces an object's status if the object still has the given
-	// revision.
+	// revision. It fails with the code PlatformConflict if the revision is of an
+	// earlier era than the store's.
 	WriteStatus(ctx context.Context, kind Kind, name string, revision uint64, status any) error
 }
--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -68,10 +68,14 @@
 }
 
 // LastConfirmed returns when the store last responded to the prober. The cached copy
-// was complete at that time.
+// was complete at that time. It returns zero while some kinds are cached from an
+// earlier era of the store than others, because these are not complete.
 func (g *Group) LastConfirmed() time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.cache.IsOneEra() {
+		return time.Time{}
+	}
 	return g.confirmedAt
 }
 
@@ -219,6 +223,18 @@
 	g.restartOthers(w)
 }
 
+// restartEarlierEras restarts the watchers whose kinds are cached from an earlier
+// era of the store than others. They list their kinds again; see Watcher.canWatch.
+func (g *Group) restartEarlierEras() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, w := range g.watchers {
+		if g.cache.isEarlierEra(w.kind) {
+			w.restartUnlessListing()
+		}
+	}
+}
+
 func (g *Group) restartOthers(except *Watcher) {
 	for _, w := range g.watchers {
 		if w != except {
@@ -231,7 +247,15 @@
 func (g *Group) replace(kind Kind, list []Object, revision uint64) {
 	g.applyMu.Lock()
 	defer g.applyMu.Unlock()
-	g.handlers[kind].Replace(g.cache.Replace(kind, list, revision))
+	before := g.cache.CompleteRevision(kind)
+	newEra := g.cache.Listed(kind) && EraOf(revision) > EraOf(before)
+	if newEra {
+		klog.InfoS("catalog: the store began a new era; it came back from an older copy", "kind", kind, "era", EraOf(revision), "before", EraOf(before))
+	}
+	g.handlers[kind].Replace(g.cache.Replace(kind, list, revision), newEra)
+	if newEra {
+		g.restartEarlierEras()
+	}
 }
 
 // apply applies changes of a kind.
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -54,8 +54,11 @@
 // Handler receives the lists and changes of a kind in order. Replace and Apply
 // are never called concurrently.
 type Handler struct {
-	// Replace receives the full list of a kind.
-	Replace func(list []Object)
+	// Replace receives the full list of a kind. newEra is true for the first list
+	// of a later era of the store: the store came back from an older copy, so the
+	// list may lack the latest changes until operators and upstreams have written
+	// them again.
+	Replace func(list []Object, newEra bool)
 	// Apply receives the changes that follow the last Replace or Apply.
 	Apply func(changes []Change)
 	// Recovered is called with the time at which the store recovered from an outage,
@@ -81,6 +84,7 @@
 	// shortNextWait is true when the next watch call waits at most maxProbeWait.
 	shortNextWait bool
 	cancel        context.CancelFunc // ends the call in progress; nil when there is none
+	isList        bool               // the call in progress is a list
 	callStartedAt time.Time
 
 	wake chan struct{} // ends a sleep
@@ -123,7 +127,7 @@
 func (w *Watcher) canWatch() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.relist && w.group.cache.Listed(w.kind)
+	return !w.relist && w.group.cache.Listed(w.kind) && !w.group.cache.isEarlierEra(w.kind)
 }
 
 // sleep waits for d, the end of ctx, or a restart.
@@ -140,9 +144,9 @@
 func (w *Watcher) list(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	w.setCancel(cancel)
+	w.setCall(cancel, true)
 	list, revision, err := w.source.List(callCtx, w.kind)
-	w.setCancel(nil)
+	w.setCall(nil, false)
 	if errors.Is(callCtx.Err(), context.Canceled) {
 		return nil // restarted, or the process is stopping
 	}
@@ -160,9 +164,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
 	defer cancel()
 	after := w.group.cache.CompleteRevision(w.kind)
-	w.setCancel(cancel)
+	w.setCall(cancel, false)
 	changes, revision, err := w.source.Watch(callCtx, w.kind, after, wait)
-	w.setCancel(nil)
+	w.setCall(nil, false)
 	if errors.Is(callCtx.Err(), context.Canceled) {
 		return nil // restarted, or the process is stopping
 	}
@@ -225,10 +229,10 @@
 	w.relist = relist
 }
 
-func (w *Watcher) setCancel(cancel context.CancelFunc) {
+func (w *Watcher) setCall(cancel context.CancelFunc, isList bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.cancel = cancel
+	w.cancel, w.isList = cancel, isList
 	if cancel != nil {
 		w.callStartedAt = time.Now()
 	}
@@ -258,6 +262,17 @@
 	}
 }
 
+// restartUnlessListing is restart for a watcher that must list its kind. It does not
+// cancel a list in progress.
+func (w *Watcher) restartUnlessListing() {
+	w.mu.Lock()
+	listing := w.cancel != nil && w.isList
+	w.mu.Unlock()
+	if !listing {
+		w.restart(0)
+	}
+}
+
 func (w *Watcher) callSucceeded() {
 	w.backoff = 0
 	w.group.callSucceeded(w)
--- a/internal/catalog/watcher_test.go
+++ b/internal/catalog/watcher_test.go
@@ -149,7 +149,7 @@
 		}
 	}
 	return Handler{
-		Replace: func(list []Object) {
+		Replace: func(list []Object, _ bool) {
 			for _, o := range list {
 				note(o.Name)
 			}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -15,13 +15,14 @@
 	"github.com/cranberrypier/cranberrypier/internal/logs"
 )
 
-// maxResponseBytes limits how much of a response is buffered. The rest of a
-// longer response is dropped, and the attempt still counts as complete.
+// maxResponseBytes limits the size of a response that is not a stream. A longer
+// response counts as incomplete.
 const maxResponseBytes = 8 << 20
 
 var (
-	errHeadTimeout   = errors.New("no response head within the timeout")
-	errStreamStalled = errors.New("no stream event within the stall timeout")
+	errResponseTooLong = errors.New("the response is longer than the limit")
+	errHeadTimeout     = errors.New("no response head within the timeout")
+	errStreamStalled   = errors.New("no stream event within the stall timeout")
 )
 
 // attempt is one try of a request at one upstream, from the pick to the outcome.
@@ -76,12 +77,30 @@
 	a.attemptStatus = a.head.AttemptStatus
 	a.timeToHead = time.Since(a.startedAt)
 	x.proxy.isolation.recordReachable()
+	a.recordNotices()
 	if a.attemptStatus == exchange.Answered {
 		x.proxy.fleet.FirstByte(time.Now(), pick, a.head.Load)
 	}
 	return a
 }
 
+// recordNotices records what the upstream says of itself in any response: that it
+// is leaving, or that it wants no requests for some time. A misdirected response
+// is another upstream's.
+func (a *attempt) recordNotices() {
+	if a.attemptStatus == exchange.Misdirected {
+		return
+	}
+	now := time.Now()
+	if a.head.Leaving && a.state.proxy.fleet.RecordLeaving(now, fleet.Departure{Upstream: a.pick.ID, Incarnation: a.pick.Incarnation}, true) {
+		klog.InfoS("fleet: the upstream announced that it is leaving", "upstream", a.pick.ID, "born", a.pick.Incarnation, "request", a.state.req.ID)
+	}
+	if a.head.PauseFor > 0 {
+		a.state.proxy.fleet.Pause(now, a.pick, a.head.PauseFor)
+		klog.InfoS("fleet: the upstream wants no requests for some time", "upstream", a.pick.ID, "for", a.head.PauseFor, "request", a.state.req.ID)
+	}
+}
+
 // recordNoResponse records an attempt that got no response. If dialing failed,
 // the request did not reach the upstream.
 func (a *attempt) recordNoResponse(err error) {
@@ -100,9 +119,12 @@
 
 // readResponse reads the rest of a response that is not a stream.
 func (a *attempt) readResponse() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.body, maxResponseBytes))
-	if err != nil {
+	body, err := io.ReadAll(io.LimitReader(a.body, maxResponseBytes+1))
+	switch {
+	case err != nil:
 		a.recordTruncation(err)
+	case len(body) > maxResponseBytes:
+		a.err = errResponseTooLong
 	}
 	return body, a.err
 }
@@ -138,6 +160,8 @@
 		return fleet.OutcomeNeutral
 	case a.attemptStatus == exchange.NotSent:
 		return fleet.OutcomeUnreachable
+	case a.attemptStatus == exchange.Rejected && a.head.PauseFor > 0:
+		return fleet.OutcomeNeutral // the pause alone keeps requests away
 	case a.attemptStatus == exchange.Rejected:
 		return fleet.OutcomeRejected
 	case a.attemptStatus == exchange.Misdirected:
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -49,13 +49,15 @@
 
 // Follower follows the store and applies its changes to the proxy.
 type Follower struct {
-	proxy          *Proxy
-	source         catalog.Source
-	docs           Documents
-	bounds         vm.Bounds
-	withdrawnZones map[string]bool
-	rollOuts       map[string]rollOutObject // keyed by object name
-	loaded         struct{ config, upstreams atomic.Bool }
+	proxy     *Proxy
+	source    catalog.Source
+	docs      Documents
+	bounds    vm.Bounds
+	withdrawn withdrawnZones
+	rollOuts  map[string]rollOutObject // keyed by object name
+	loaded    struct{ config, upstreams atomic.Bool }
+	// config is the object of the configuration in use.
+	config atomic.Pointer[catalog.Object]
 	// zone is this VM's availability zone.
 	zone string
 	// group watches the store; relay decides whether this VM reads it itself.
@@ -83,7 +85,7 @@
 func NewFollower(s *Proxy, o Options, startedAt time.Time) *Follower {
 	return &Follower{
 		proxy: s, source: o.Source, docs: o.Documents, bounds: o.Settings.Bounds, zone: o.Settings.Zone,
-		withdrawnZones: make(map[string]bool), rollOuts: make(map[string]rollOutObject), verdictFirstSeen: make(map[verdictKey]time.Time),
+		withdrawn: newWithdrawnZones(), rollOuts: make(map[string]rollOutObject), verdictFirstSeen: make(map[verdictKey]time.Time),
 		group: catalog.NewGroup(), relay: newRelayState(newRelayConfig(o, startedAt)),
 	}
 }
@@ -104,11 +106,11 @@
 			Replace: f.replaceUpstreams, Apply: f.applyUpstreamChanges, Recovered: f.proxy.fleet.StoreRecovered,
 		}),
 		newWatcher(catalog.Configurations, longPace, catalog.Handler{
-			Replace: func(l []catalog.Object) { f.applyEach(l, f.applyConfig) },
+			Replace: func(l []catalog.Object, _ bool) { f.applyEach(l, f.applyConfig) },
 			Apply:   func(c []catalog.Change) { f.applyChanges(c, f.applyConfig, nil) },
 		}),
 		newWatcher(catalog.RollOuts, longPace, catalog.Handler{
-			Replace: func(l []catalog.Object) { f.applyEach(l, f.applyRollOut) },
+			Replace: f.replaceRollOuts,
 			Apply:   func(c []catalog.Change) { f.applyChanges(c, f.applyRollOut, f.removeRollOut) },
 		}),
 		newWatcher(catalog.Withdrawals, longPace, catalog.Handler{
@@ -155,19 +157,33 @@
 	}
 	f.proxy.fleet.SetColdRates(rates)
 	f.proxy.config.Store(config)
+	f.config.Store(&o)
 	f.loaded.config.Store(true)
 	klog.InfoS("config: applied", "version", config.Version, "revision", o.Revision, "routes", config.RouteCount(), "keys", len(config.TeamsByKey))
 }
 
-// replaceUpstreams applies a complete list of upstreams.
-func (f *Follower) replaceUpstreams(list []catalog.Object) {
+// configNewerThan returns the object of the configuration in use if its version is
+// above the given one, otherwise nil.
+func (f *Follower) configNewerThan(version uint64) *catalog.Object {
+	if f.proxy.configVersion() <= version {
+		return nil
+	}
+	return f.config.Load()
+}
+
+// replaceUpstreams applies a complete list of upstreams. The first list of a new
+// era lacks upstreams that have not written their entry again yet.
+func (f *Follower) replaceUpstreams(list []catalog.Object, newEra bool) {
 	now := time.Now()
+	if newEra {
+		f.proxy.fleet.StoreRecovered(now)
+	}
 	out := make([]fleet.Upstream, 0, len(list))
 	for _, o := range list {
 		if o.Deleting {
 			continue
 		}
-		u, err := f.docs.DecodeUpstream(o.Name, o.Spec, now)
+		u, err := f.decodeUpstream(o, now)
 		if err != nil {
 			klog.InfoS("fleet: entry ignored, because it cannot be decoded", "upstream", o.Name, "revision", o.Revision, "err", logs.Err(err))
 			continue
@@ -179,6 +195,12 @@
 	klog.InfoS("fleet: list of upstreams applied", "upstreams", len(out))
 }
 
+func (f *Follower) decodeUpstream(o catalog.Object, now time.Time) (fleet.Upstream, error) {
+	u, err := f.docs.DecodeUpstream(o.Name, o.Spec, now)
+	u.Era = catalog.EraOf(o.Revision)
+	return u, err
+}
+
 func (f *Follower) applyUpstreamChanges(changes []catalog.Change) {
 	now := time.Now()
 	out := make([]fleet.Change, 0, len(changes))
@@ -189,7 +211,7 @@
 			klog.InfoS("fleet: upstream removed", "upstream", o.Name, "revision", o.Revision)
 			continue
 		}
-		u, err := f.docs.DecodeUpstream(o.Name, o.Spec, now)
+		u, err := f.decodeUpstream(o, now)
 		if err != nil {
 			klog.InfoS("fleet: entry ignored, because it cannot be decoded", "upstream", o.Name, "revision", o.Revision, "err", logs.Err(err))
 			continue
@@ -201,6 +223,16 @@
 	f.proxy.fleet.Apply(now, out)
 }
 
+// replaceRollOuts applies a complete list of roll-outs.
+func (f *Follower) replaceRollOuts(list []catalog.Object, newEra bool) {
+	if newEra {
+		f.proxy.mu.Lock()
+		f.proxy.canary.StoreRestored(time.Now())
+		f.proxy.mu.Unlock()
+	}
+	f.applyEach(list, f.applyRollOut)
+}
+
 func (f *Follower) applyRollOut(o catalog.Object) {
 	rollOut, err := f.docs.DecodeRollOut(o.Spec, o.Status)
 	if err != nil {
@@ -212,8 +244,13 @@
 	}
 	f.proxy.mu.Lock()
 	f.rollOuts[o.Name] = rollOutObject{rollOut: rollOut, revision: o.Revision}
-	f.proxy.canary.SetRollOut(time.Now(), rollOut)
+	applied := f.proxy.canary.SetRollOut(time.Now(), rollOut)
 	f.proxy.mu.Unlock()
+	if !applied {
+		klog.InfoS("canary: roll-out ignored, because a newer one replaced it before the store came back from an older copy",
+			"service", rollOut.Service, "target", rollOut.NewVersion, "revision", o.Revision)
+		return
+	}
 	klog.InfoS("canary: roll-out applied", "service", rollOut.Service, "target", rollOut.NewVersion, "duration", rollOut.Duration,
 		"phase", rollOut.Phase, "revision", o.Revision)
 }
@@ -228,35 +265,6 @@
 	klog.InfoS("canary: roll-out deleted from the store", "rollout", o.Name, "revision", o.Revision)
 }
 
-func (f *Follower) replaceWithdrawals(list []catalog.Object) {
-	clear(f.withdrawnZones)
-	for _, o := range list {
-		if !o.Deleting {
-			f.withdrawnZones[o.Name] = true
-		}
-	}
-	f.applyWithdrawnZones()
-}
-
-func (f *Follower) withdrawZone(o catalog.Object) {
-	f.withdrawnZones[o.Name] = true
-	f.applyWithdrawnZones()
-}
-
-func (f *Follower) restoreZone(o catalog.Object) {
-	delete(f.withdrawnZones, o.Name)
-	f.applyWithdrawnZones()
-}
-
-func (f *Follower) applyWithdrawnZones() {
-	zones := make([]string, 0, len(f.withdrawnZones))
-	for z := range f.withdrawnZones {
-		zones = append(zones, z)
-	}
-	f.proxy.fleet.SetWithdrawn(zones)
-	klog.InfoS("fleet: list of withdrawn zones applied", "zones", zones)
-}
-
 // Intervals and timeouts of the periodic tasks.
 const (
 	// tickInterval is the interval of the periodic tasks.
@@ -285,6 +293,7 @@
 		now := time.Now()
 		f.updateReadDecision(now, liveInZone())
 		f.proxy.fleet.Expire(now)
+		f.expireWithdrawals(now)
 		if now.Before(nextWrite) {
 			continue
 		}
@@ -347,6 +356,6 @@
 	updated := v.RollOut
 	updated.Phase = v.Phase
 	f.proxy.mu.Lock()
-	f.proxy.canary.SetRollOut(time.Now(), updated)
+	_ = f.proxy.canary.SetRollOut(time.Now(), updated) // a verdict is on a roll-out that is applied
 	f.proxy.mu.Unlock()
 }
--- a/internal/edge/isolation.go
+++ b/internal/edge/isolation.go
@@ -106,7 +106,7 @@
 		if !s.isolation.isIsolated() {
 			continue
 		}
-		addresses := s.fleet.UsableAddresses()
+		addresses := s.fleet.UsableAddresses(time.Now())
 		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 		for _, a := range addresses[:min(maxProbesPerRound, len(addresses))] {
 			conn, err := d.DialContext(ctx, "tcp", a)
--- a/internal/edge/isolation_test.go
+++ b/internal/edge/isolation_test.go
@@ -13,7 +13,7 @@
 // The VM must soon report not ready, and the Retry-After of rejected requests
 // must cover the time until the platform sends callers to other VMs.
 func TestIsolationOfPartitionedZone(t *testing.T) {
-	s := &Proxy{}
+	s := &Proxy{fleet: fleet.New(fleet.Config{})}
 	begin := time.Now()
 	for i := range 20 {
 		s.isolation.recordUnserved(begin.Add(time.Duration(i) * 50 * time.Millisecond))
@@ -22,10 +22,10 @@
 		}
 	}
 	assert.True(t, s.isolation.isIsolated())
-	assert.Greater(t, s.retryAfter(fleet.NoneReachable), coldRetryAfter)
+	assert.Greater(t, s.retryAfter(fleet.NoneReachable, "orders"), coldRetryAfter)
 	s.isolation.recordReachable()
 	assert.False(t, s.isolation.isIsolated())
-	assert.Equal(t, shortRetryAfter, s.retryAfter(fleet.NoneReachable))
+	assert.Equal(t, shortRetryAfter, s.retryAfter(fleet.NoneReachable, "orders"))
 }
 
 func TestOccasionalResponsePreventsIsolation(t *testing.T) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -16,6 +16,7 @@
 		RollOuts:        s.rollOutReports,
 		ConfigVersion:   s.configVersion,
 		Disconnects:     s.recentDisconnects,
+		Departures:      s.fleet.RecentDepartures,
 		OnMessage:       s.applyMessage,
 		OnMembership:    s.setVMs,
 		IncarnationName: incarnationName,
@@ -37,6 +38,11 @@
 // applyMessage applies another VM's gossip message.
 func (s *Proxy) applyMessage(now time.Time, m gossip.Message) {
 	s.fleet.SetRemoteLoads(now, m.From.Name, m.Loads)
+	for _, d := range m.Departures {
+		if s.fleet.RecordLeaving(now, d, false) {
+			klog.InfoS("fleet: another VM reported that the upstream is leaving", "upstream", d.Upstream, "born", d.Incarnation, "from", m.From.Name)
+		}
+	}
 	if len(m.RollOuts) == 0 && len(m.Disconnects) == 0 {
 		return
 	}
--- a/internal/edge/peerstate.go
+++ b/internal/edge/peerstate.go
@@ -25,6 +25,9 @@
 	// fullListParam requests full lists where the peer can't tell what has
 	// changed.
 	fullListParam = "whole"
+	// configVersionParam holds the version of the configuration that the
+	// requesting VM uses.
+	configVersionParam = "configVersion"
 	// maxStateBytes limits the size of a peer's response. The largest contents
 	// are a configuration of up to 1 MB and a few hundred upstreams.
 	maxStateBytes = 8 << 20
@@ -42,6 +45,10 @@
 	// RecoveredMS is how long ago, in milliseconds, the store recovered from an
 	// outage; zero if there was none.
 	RecoveredMS int64 `json:"returnedMS,omitempty"`
+	// Config is the configuration that the responding VM uses, if it is newer than
+	// the requesting VM's. After the store came back from an older copy, the store
+	// may not have it.
+	Config *catalog.Object `json:"config,omitempty"`
 }
 
 // stateHandler serves this VM's copy of the store to its peers.
@@ -66,6 +73,10 @@
 			out.Kinds[kind] = update
 		}
 	}
+	version, err := strconv.ParseUint(known.Get(configVersionParam), 10, 64)
+	if err == nil && len(out.Kinds[catalog.Configurations].Objects) == 0 {
+		out.Config = f.configNewerThan(version)
+	}
 	if at := f.group.LastRecovered(); !at.IsZero() {
 		out.RecoveredMS = max(time.Since(at).Milliseconds(), 1)
 	}
@@ -75,26 +86,28 @@
 // newStateClient returns the HTTP client for state requests to peers.
 func newStateClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DisableKeepAlives: true, DialContext: newDialer(peerTimeout).DialContext,
+		DisableKeepAlives: true, DialContext: newDialer(peerTimeout).DialContext, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
 // fetchState requests from a peer the changes that this VM lacks. Full lists are
-// large, so they are requested only while the store is unavailable.
-func (f *Follower) fetchState(ctx context.Context, client *http.Client, address string) (peerState, error) {
-	known := url.Values{}
+// large, so they are requested only while the store is unavailable, or if the peer
+// has read the store in a later era, whose changes do not follow from this copy.
+func (f *Follower) fetchState(ctx context.Context, client *http.Client, peer newerPeer) (peerState, error) {
+	cache := f.group.Cache()
+	known := url.Values{configVersionParam: {strconv.FormatUint(f.proxy.configVersion(), 10)}}
 	for _, kind := range catalog.Kinds {
-		known.Set(string(kind), strconv.FormatUint(f.group.Cache().CompleteRevision(kind), 10))
+		known.Set(string(kind), strconv.FormatUint(cache.CompleteRevision(kind), 10))
 	}
 	timeout := peerTimeout
-	if f.group.StoreUnavailable() {
+	if f.group.StoreUnavailable() || peer.digest.Era > cache.Era() || !cache.IsOneEra() {
 		known.Set(fullListParam, "")
 		timeout = fullListTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var out peerState
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+statePath+"?"+known.Encode(), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.address+statePath+"?"+known.Encode(), nil)
 	if err != nil {
 		return out, trace.Wrap(err)
 	}
@@ -110,7 +123,7 @@
 }
 
 // applyState applies the state received from a peer and reports whether it
-// contained any full list, object or deletion.
+// contained any full list, object or deletion, or a newer configuration.
 func (f *Follower) applyState(from string, state peerState) (changed bool) {
 	if state.RecoveredMS > 0 {
 		f.group.PeerRecovered(time.Now().Add(-time.Duration(state.RecoveredMS) * time.Millisecond))
@@ -127,5 +140,10 @@
 		}
 		f.group.ApplyUpdate(kind, update)
 	}
+	if state.Config != nil {
+		before := f.proxy.configVersion()
+		f.applyConfig(*state.Config)
+		changed = changed || f.proxy.configVersion() > before
+	}
 	return changed
 }
--- a/internal/edge/relaying.go
+++ b/internal/edge/relaying.go
@@ -43,10 +43,12 @@
 	newerPeer chan newerPeer
 }
 
-// newerPeer is a peer whose digest is newer than this VM's copy.
+// newerPeer is a peer whose digest is newer than this VM's copy, or that uses a newer
+// configuration.
 type newerPeer struct {
-	address string
-	digest  *relay.Digest
+	address       string
+	digest        *relay.Digest
+	configVersion uint64
 }
 
 func newRelayState(config relay.Config) *relayState {
@@ -58,26 +60,38 @@
 	if m.Digest == nil {
 		return
 	}
-	last := f.group.Cache().LatestRevisions()
+	local := f.localCopy()
 	f.relay.mu.Lock()
-	behind := f.relay.core.Receive(now, m.Digest, last)
+	behind := f.relay.core.Receive(now, m.Digest, local)
 	f.relay.mu.Unlock()
 	f.group.PeerConfirmed(now.Add(-time.Duration(m.Digest.AgeMS) * time.Millisecond))
-	if !behind || !f.currentReadDecision().FetchesFromPeer(m.From.Zone == f.zone) {
+	peer := newerPeer{address: m.From.Address, digest: m.Digest, configVersion: m.ConfigVersion}
+	if !behind && !f.isBehind(peer) || !f.currentReadDecision().FetchesFromPeer(m.From.Zone == f.zone) {
 		return
 	}
 	select {
-	case f.relay.newerPeer <- newerPeer{address: m.From.Address, digest: m.Digest}:
+	case f.relay.newerPeer <- peer:
 	default: // the pending peer most likely has the same changes
 	}
 }
 
+// isBehind reports whether a peer has changes that this VM lacks.
+func (f *Follower) isBehind(peer newerPeer) bool {
+	return peer.digest.NewerThan(f.localCopy()) || peer.configVersion > f.proxy.configVersion()
+}
+
+// localCopy describes this VM's copy of the store.
+func (f *Follower) localCopy() relay.Copy {
+	cache := f.group.Cache()
+	return relay.Copy{Era: cache.Era(), Revisions: cache.LatestRevisions()}
+}
+
 // localDigest returns the digest that this VM sends to its peers.
 func (f *Follower) localDigest(now time.Time) *relay.Digest {
 	f.relay.mu.Lock()
 	defer f.relay.mu.Unlock()
 	f.relay.core.Confirm(f.group.LastConfirmed())
-	return f.relay.core.Digest(now, f.group.Cache().LatestRevisions())
+	return f.relay.core.Digest(now, f.localCopy())
 }
 
 // updateReadDecision decides whether this VM reads the store, given the live VMs
@@ -153,11 +167,11 @@
 				return
 			}
 		}
-		for peer.digest.NewerThan(f.group.Cache().LatestRevisions()) && f.fetchFrom(ctx, client, peer.address) {
+		for f.isBehind(peer) && f.fetchFrom(ctx, client, peer) {
 			// A response holds only the oldest missing changes, so fetch until
 			// up to date.
 		}
-		if peer.digest.NewerThan(f.group.Cache().LatestRevisions()) && !ctxwait.For(ctx, nextPeerDelay) {
+		if f.isBehind(peer) && !ctxwait.For(ctx, nextPeerDelay) {
 			return
 		}
 	}
@@ -165,13 +179,13 @@
 
 // fetchFrom fetches a peer's state and reports whether it contained any full
 // list, object or deletion.
-func (f *Follower) fetchFrom(ctx context.Context, client *http.Client, address string) bool {
-	state, err := f.fetchState(ctx, client, address)
+func (f *Follower) fetchFrom(ctx context.Context, client *http.Client, peer newerPeer) bool {
+	state, err := f.fetchState(ctx, client, peer)
 	if err != nil {
-		klog.InfoS("peers: state not fetched", "from", address, "err", logs.Err(err))
+		klog.InfoS("peers: state not fetched", "from", peer.address, "err", logs.Err(err))
 		return false
 	}
-	return f.applyState(address, state)
+	return f.applyState(peer.address, state)
 }
 
 // newRelayConfig returns the constant inputs of the decision whether this VM
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -166,7 +166,7 @@
 		x.respondError(result.New(result.UpstreamFailed, "no other upstream can accept the request").WithRun(result.Unknown), string(reason))
 		return
 	}
-	x.respondError(result.New(result.NoUpstream, "no upstream can accept the request now").WithRetryAfter(x.proxy.retryAfter(reason)), string(reason))
+	x.respondError(result.New(result.NoUpstream, "no upstream can accept the request now").WithRetryAfter(x.proxy.retryAfter(reason, x.req.Service.Name)), string(reason))
 }
 
 // recordUnserved records for the isolation check that the request reached no
@@ -185,7 +185,7 @@
 	case x.sendFallback():
 	case x.runs == 0:
 		x.recordUnserved()
-		x.respondError(result.New(result.Overloaded, "each upstream that was tried rejected the request or was unreachable").WithRetryAfter(x.proxy.retryAfter(fleet.NoneReachable)), a.attemptStatus.String())
+		x.respondError(result.New(result.Overloaded, "each upstream that was tried rejected the request or was unreachable").WithRetryAfter(x.proxy.retryAfter(fleet.NoneReachable, x.req.Service.Name)), a.attemptStatus.String())
 	case time.Until(x.req.Deadline) <= 0:
 		x.respondError(result.New(result.DeadlineExceeded, "no response before the deadline"), a.attemptStatus.String())
 	default:
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -240,8 +240,12 @@
 	failoverRetryAfter = 2300 * time.Millisecond
 )
 
-// retryAfter returns when a caller may retry a request that found no upstream.
-func (s *Proxy) retryAfter(reason fleet.Reason) time.Duration {
+// retryAfter returns when a caller may retry a request that found no upstream of
+// the service.
+func (s *Proxy) retryAfter(reason fleet.Reason, service string) time.Duration {
+	if left := s.fleet.PauseLeft(time.Now(), service); left > 0 {
+		return max(left, shortRetryAfter)
+	}
 	if isolatedFor, suspected := s.isolation.status(time.Now()); suspected {
 		return max(failoverRetryAfter-isolatedFor, shortRetryAfter)
 	}
--- a/internal/edge/sse.go
+++ b/internal/edge/sse.go
@@ -7,13 +7,17 @@
 )
 
 const (
-	// maxEventBytes limits the size of one event of a stream.
+	// maxEventBytes limits the size of one event of a stream, and the bytes between
+	// two events that carry data: comments and empty events are no progress.
 	maxEventBytes = 256 << 10
 	// readSize is the size of one read from an upstream, in bytes.
 	readSize = 4 << 10
 )
 
-var errEventTooLong = errors.New("stream event is too long")
+var (
+	errEventTooLong = errors.New("stream event is too long")
+	errNoProgress   = errors.New("too many bytes without an event that carries data")
+)
 
 // eventReader splits a text/event-stream into complete events.
 type eventReader struct {
@@ -21,26 +25,35 @@
 	buf   []byte
 	err   error
 	chunk [readSize]byte
+	// idleBytes is the number of bytes since the last event with data.
+	idleBytes int
 }
 
 func newEventReader(src io.Reader) *eventReader { return &eventReader{src: src} }
 
-// next returns the next complete events, at least one, and the last event ID
-// among them, if any; several events may have arrived together. At the end of
-// the stream it returns the bytes after the last complete event, if any, with
-// the error.
-func (r *eventReader) next() (events []byte, lastID string, err error) {
+// streamEvents are complete events that have arrived together.
+type streamEvents struct {
+	bytes []byte
+	// lastID is the last event ID among them, if any.
+	lastID string
+	// hasData is false if all of them are comments or empty.
+	hasData bool
+}
+
+// next returns the next complete events, at least one. At the end of the stream it
+// returns the bytes after the last complete event, if any, with the error.
+func (r *eventReader) next() (streamEvents, error) {
 	for {
 		if end := lastEventEnd(r.buf); end > 0 {
-			events = bytes.Clone(r.buf[:end])
+			e := newStreamEvents(bytes.Clone(r.buf[:end]))
 			r.buf = append(r.buf[:0], r.buf[end:]...)
-			return events, lastEventID(events), nil
+			return e, r.checkProgress(e)
 		}
 		if r.err != nil {
-			return r.buf, "", r.err
+			return streamEvents{bytes: r.buf}, r.err
 		}
 		if len(r.buf) > maxEventBytes {
-			return nil, "", errEventTooLong
+			return streamEvents{}, errEventTooLong
 		}
 		var n int
 		n, r.err = r.src.Read(r.chunk[:])
@@ -48,6 +61,30 @@
 	}
 }
 
+// checkProgress returns errNoProgress after too many bytes without data.
+func (r *eventReader) checkProgress(e streamEvents) error {
+	if e.hasData {
+		r.idleBytes = 0
+		return nil
+	}
+	r.idleBytes += len(e.bytes)
+	if r.idleBytes > maxEventBytes {
+		return errNoProgress
+	}
+	return nil
+}
+
+func newStreamEvents(b []byte) streamEvents {
+	e := streamEvents{bytes: b}
+	for line := range bytes.Lines(b) {
+		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			e.lastID = string(bytes.TrimSpace(rest))
+		}
+		e.hasData = e.hasData || bytes.HasPrefix(line, []byte("data"))
+	}
+	return e
+}
+
 // lastEventEnd returns the offset after the last complete event, which ends
 // with an empty line, or zero if there is none.
 func lastEventEnd(b []byte) int {
@@ -60,14 +97,3 @@
 	}
 	return end
 }
-
-// lastEventID returns the ID of the last event that has one.
-func lastEventID(events []byte) string {
-	id := ""
-	for line := range bytes.Lines(events) {
-		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(rest))
-		}
-	}
-	return id
-}
--- a/internal/edge/sse_test.go
+++ b/internal/edge/sse_test.go
@@ -14,13 +14,13 @@
 func readAll(src io.Reader) (complete, rest, last string, err error) {
 	r := newEventReader(src)
 	for {
-		events, id, e := r.next()
+		events, e := r.next()
 		if e != nil {
-			return complete, string(events), last, e
+			return complete, string(events.bytes), last, e
 		}
-		complete += string(events)
-		if id != "" {
-			last = id
+		complete += string(events.bytes)
+		if events.lastID != "" {
+			last = events.lastID
 		}
 	}
 }
@@ -49,6 +49,10 @@
 func TestEventReaderBounds(t *testing.T) {
 	_, _, _, err := readAll(strings.NewReader(strings.Repeat("x", maxEventBytes+readSize+1)))
 	assert.ErrorIs(t, err, errEventTooLong)
+	_, _, _, err = readAll(strings.NewReader(strings.Repeat(": comment\n\n", maxEventBytes)))
+	assert.ErrorIs(t, err, errNoProgress)
+	_, _, _, err = readAll(strings.NewReader(strings.Repeat(": comment\n\ndata: a\n\n", maxEventBytes)))
+	assert.ErrorIs(t, err, io.EOF, "comments between events are harmless")
 	_, _, _, err = readAll(iotest.ErrReader(errors.New("reset")))
 	assert.EqualError(t, err, "reset")
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -145,22 +145,26 @@
 	}
 	reader := newEventReader(a.body)
 	for {
-		events, id, err := reader.next()
-		if stallTimer != nil {
+		events, err := reader.next()
+		if stallTimer != nil && events.hasData {
 			stallTimer.Reset(stallTimeout)
 		}
 		if errors.Is(err, io.EOF) {
-			return st.endStream(events)
+			return st.endStream(events.bytes)
+		}
+		if errors.Is(err, errEventTooLong) || errors.Is(err, errNoProgress) {
+			a.err = err // this VM ends the attempt
+			return streamBroken
 		}
 		if err != nil {
 			a.recordTruncation(err)
 			return streamBroken
 		}
-		if !st.write(events) {
+		if !st.write(events.bytes) {
 			return streamDone
 		}
-		if id != "" {
-			st.resumeAfter = id
+		if events.lastID != "" {
+			st.resumeAfter = events.lastID
 		}
 	}
 }
--- a/internal/edge/transport.go
+++ b/internal/edge/transport.go
@@ -25,6 +25,9 @@
 	keepAliveCount    = 2
 	// tcpUserTimeout limits how long sent bytes may stay unacknowledged.
 	tcpUserTimeout = 2 * time.Second
+	// maxResponseHeaderBytes limits the header of a response, and each interim
+	// response before it.
+	maxResponseHeaderBytes = 64 << 10
 	// storeIdleTimeout is when idle connections to the store are closed.
 	storeIdleTimeout = 30 * time.Second
 )
@@ -58,6 +61,8 @@
 		DisableCompression: true,
 		WriteBufferSize:    4 << 10,
 		ReadBufferSize:     4 << 10,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
@@ -69,6 +74,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     storeIdleTimeout,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -135,6 +135,12 @@
 	// ConnectionClose is true if the upstream closes the connection after the
 	// response.
 	ConnectionClose bool
+	// Leaving is true if the upstream announces that it is leaving. It then wants no
+	// further requests.
+	Leaving bool
+	// PauseFor is how long the upstream, which rejected the request, wants no further
+	// requests from this VM; zero for no pause.
+	PauseFor time.Duration
 }
 
 // Usable reports whether the head belongs to a valid response to this request.
--- a/internal/fake/platformside/replica.go
+++ b/internal/fake/platformside/replica.go
@@ -36,6 +36,13 @@
 	Unframed bool
 	// Early responds with 429 and X-Not-Executed before it reads the request body.
 	Early bool
+	// Leaving adds Server-Leaving: 1 to each response.
+	Leaving bool
+	// RetryAfter is added to the responses of Reject; empty for none.
+	RetryAfter string
+	// Endless sends bytes that are not a response until the client closes the
+	// connection; empty for no fault.
+	Endless EndlessFault
 	// Delay is the time to wait before the first byte of the response.
 	Delay time.Duration
 }
@@ -124,12 +131,18 @@
 	p.mu.Unlock()
 	h := r.Header
 	w.Header().Set("X-Replica-Id", p.ID)
+	if f.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if e := h.Get("X-Expected-Replica"); e != "" && e != p.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if f.Reject {
 		w.Header().Set("X-Not-Executed", "1")
+		if f.RetryAfter != "" {
+			w.Header().Set("Retry-After", f.RetryAfter)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -179,6 +192,9 @@
 	case f.Mute:
 		<-r.Context().Done()
 		return
+	case f.Endless != "":
+		p.writeEndless(w, run, f.Endless)
+		return
 	}
 	if f.Foreign {
 		other := *run
--- a/internal/fake/platformside/store.go
+++ b/internal/fake/platformside/store.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -70,6 +71,13 @@
 	faults            StoreFaults
 	calls             map[string]int
 	activeWatches     map[string]int // watch calls in progress, by kind
+	era               uint64         // rises when the store is restored from a copy
+}
+
+// StoreCopy is a copy of a store's contents.
+type StoreCopy struct {
+	revision uint64
+	objects  map[string]map[string]Object
 }
 
 // NewStore returns an empty store.
@@ -93,6 +101,34 @@
 	s.compactedRevision = s.revision
 }
 
+// Copy returns a copy of the store's contents.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{revision: s.revision, objects: cloneObjects(s.objects)}
+}
+
+// Restore replaces the store's contents with a copy of them and begins a new era. It
+// closes the connections of all watches. Revisions continue from that of the copy;
+// older history is gone.
+func (s *Store) Restore(c StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.compactions++
+	s.revision, s.objects, s.events, s.compactedRevision = c.revision, cloneObjects(c.objects), nil, c.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func cloneObjects(objects map[string]map[string]Object) map[string]map[string]Object {
+	out := make(map[string]map[string]Object, len(objects))
+	for kind, list := range objects {
+		out[kind] = maps.Clone(list)
+	}
+	return out
+}
+
 // ActiveWatches returns the number of watch calls of a kind that are in progress.
 func (s *Store) ActiveWatches(kind string) int {
 	s.mu.Lock()
@@ -190,6 +226,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		f := s.faults
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 		s.mu.Unlock()
 		switch {
 		case f.Silent:
@@ -271,20 +308,23 @@
 	timeout := time.After(time.Duration(waitMs) * time.Millisecond)
 	s.mu.Lock()
 	s.calls["watch"]++
-	compactionsAtStart := s.compactions
+	compactionsAtStart, eraAtStart := s.compactions, s.era
 	s.mu.Unlock()
 	s.addActiveWatches(chi.URLParam(r, "kind"), 1)
 	defer s.addActiveWatches(chi.URLParam(r, "kind"), -1)
 	for {
 		s.mu.Lock()
-		compactedDuringWatch, afterIsCompacted, changed, revision, unresponsive := s.compactions > compactionsAtStart, after < s.compactedRevision, s.changed, s.revision, s.faults.Silent
+		compactedDuringWatch, afterIsGone, changed, revision, unresponsive := s.compactions > compactionsAtStart, after < s.compactedRevision || after > s.revision, s.changed, s.revision, s.faults.Silent
+		restored := s.era > eraAtStart
 		events := s.eventsAfter(chi.URLParam(r, "kind"), after)
 		s.mu.Unlock()
 		switch {
+		case restored:
+			panic(http.ErrAbortHandler)
 		case unresponsive:
 			<-r.Context().Done()
 			return
-		case afterIsCompacted && !compactedDuringWatch:
+		case afterIsGone && !compactedDuringWatch:
 			writeJSON(w, http.StatusGone, map[string]any{"error": "history is gone"})
 			return
 		case len(events) > 0 && !compactedDuringWatch:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,8 +25,12 @@
 	Slots   int
 	Leaving bool
 	// Incarnation distinguishes the starts of a process with the same ID; zero if
-	// unknown.
+	// unknown. It increases with each start.
 	Incarnation int64
+	// Sequence increases with each entry that an incarnation writes; zero if unknown.
+	Sequence int64
+	// Era is the era of the platform's store in which the entry was read.
+	Era uint64
 	// ColdUntil is the end of the cold start; zero if the upstream is warm.
 	ColdUntil time.Time
 }
@@ -64,6 +68,7 @@
 	msPerToken                   map[string]float64 // prefill time per uncached prompt token in ms, by model
 	// graceUntil is the end of the period in which removals are delayed.
 	graceUntil time.Time
+	departures departures
 }
 
 // New returns an empty fleet.
@@ -71,6 +76,7 @@
 	return &Fleet{
 		cfg: cfg, members: make(map[string]*member), byService: make(map[string][]*member),
 		withdrawn: make(map[string]bool), zoneHealth: make(map[string]*zoneHealth), membersByVM: make(map[string][]*member), coldRates: make(map[string]float64), msPerToken: make(map[string]float64),
+		departures: newDepartures(),
 	}
 }
 
@@ -123,6 +129,7 @@
 			f.remove(now, id)
 		}
 	}
+	f.departures.dropUnlisted(listed)
 	f.rebuildIndex()
 }
 
@@ -150,6 +157,18 @@
 
 func (f *Fleet) upsert(now time.Time, u Upstream) {
 	old := f.members[u.ID]
+	if old != nil && isOlderEntry(u, old.Upstream) {
+		old.removeAt = time.Time{}
+		return
+	}
+	if f.departures.holdBack(now, u) {
+		return
+	}
+	if f.departures.isLeaving(u.ID, u.Incarnation) {
+		u.Leaving = true
+	} else if u.Leaving {
+		f.departures.recordLeaving(now, leavingRecord{Departure: Departure{Upstream: u.ID, Incarnation: u.Incarnation}, at: now})
+	}
 	if old == nil || old.Incarnation != u.Incarnation || old.Address != u.Address {
 		f.members[u.ID] = newMember(u, now)
 		return
@@ -159,6 +178,7 @@
 }
 
 func (f *Fleet) remove(now time.Time, id string) {
+	delete(f.departures.held, id)
 	m := f.members[id]
 	if m == nil {
 		return
@@ -169,21 +189,27 @@
 		}
 		return
 	}
+	f.departures.recordRemoved(now, m.Upstream)
 	delete(f.members, id)
 }
 
 // Expire removes the upstreams whose entries were not restored within the grace
-// period.
+// period, and adds those whose entries are no longer held back.
 func (f *Fleet) Expire(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changed := false
 	for id, m := range f.members {
 		if !m.removeAt.IsZero() && !now.Before(m.removeAt) {
+			f.departures.recordRemoved(now, m.Upstream)
 			delete(f.members, id)
 			changed = true
 		}
 	}
+	for _, u := range f.departures.release(now) {
+		f.upsert(now, u)
+		changed = true
+	}
 	if changed {
 		f.rebuildIndex()
 	}
@@ -220,13 +246,14 @@
 	return len(f.members)
 }
 
-// UsableAddresses returns the addresses of the upstreams that may receive requests.
-func (f *Fleet) UsableAddresses() []string {
+// UsableAddresses returns the addresses of the upstreams that may receive requests
+// now.
+func (f *Fleet) UsableAddresses(now time.Time) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []string
 	for _, m := range f.members {
-		if f.usable(m) {
+		if f.usable(m) && !now.Before(m.pausedUntil) {
 			out = append(out, m.Address)
 		}
 	}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -63,6 +63,8 @@
 	addressTaken bool
 	backoffUntil time.Time
 	backoff      time.Duration
+	// pausedUntil is the end of the pause that the upstream asked for.
+	pausedUntil time.Time
 
 	latencyMs float64 // average of answered plain calls
 	slowdown  float64 // factor by which first tokens arrive later than their prefill time predicts
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -62,6 +62,9 @@
 	// NoneReachable: some allowed upstreams were recently unreachable and may not be
 	// tried by this attempt; the others, if any, are at their cold limit.
 	NoneReachable Reason = "all_down"
+	// AllPaused: all allowed upstreams want no requests for some time, except for
+	// those of the other reasons.
+	AllPaused Reason = "all_paused"
 )
 
 // Pick is the upstream chosen for one attempt. The attempt counts as in flight
@@ -155,39 +158,72 @@
 	return best, Picked
 }
 
+// availability is whether an upstream that is allowed may receive a request now.
+type availability int
+
+const (
+	available availability = iota
+	// paused upstreams want no requests for some time.
+	paused
+	// unreachable upstreams were recently unreachable.
+	unreachable
+	// coldLimited upstreams are cold, and this VM has used up its limit for them.
+	coldLimited
+)
+
+func (f *Fleet) availabilityOf(now time.Time, m *member) availability {
+	switch {
+	case now.Before(m.pausedUntil):
+		return paused
+	case now.Before(m.backoffUntil) || !m.removeAt.IsZero() || f.zoneHealthOf(m).isUnreachable(now):
+		return unreachable
+	case f.coldLimitReached(now, m):
+		return coldLimited
+	}
+	return available
+}
+
+// isAllowed reports whether the query and the state of an upstream allow it to
+// receive the request at some time.
+func (f *Fleet) isAllowed(q Query, m *member) bool {
+	return f.usable(m) && !slices.Contains(q.Exclude, m.ID) && f.inAllowedRegions(m, q.Regions) && q.AllowVersion(m.Version)
+}
+
 // eligible returns the upstreams that may receive the request. Recently unreachable
 // upstreams are used only for a first attempt and only if no other upstream is
 // allowed. One that is merely at its cold limit counts as allowed.
 func (f *Fleet) eligible(now time.Time, q Query, list []*member) ([]*member, Reason) {
-	reachable, unreachable := f.reachableBuf[:0], f.unreachableBuf[:0]
-	defer func() { f.reachableBuf, f.unreachableBuf = reachable[:0], unreachable[:0] }() // the lists are used under the lock only
-	cold := false
+	reachable, unreached := f.reachableBuf[:0], f.unreachableBuf[:0]
+	defer func() { f.reachableBuf, f.unreachableBuf = reachable[:0], unreached[:0] }() // the lists are used under the lock only
+	var seen [coldLimited + 1]bool
 	for _, m := range list {
-		if !f.usable(m) || slices.Contains(q.Exclude, m.ID) || !f.inAllowedRegions(m, q.Regions) || !q.AllowVersion(m.Version) {
+		if !f.isAllowed(q, m) {
 			continue
 		}
-		switch {
-		case now.Before(m.backoffUntil) || !m.removeAt.IsZero() || f.zoneHealthOf(m).isUnreachable(now):
-			unreachable = append(unreachable, m)
-		case f.coldLimitReached(now, m):
-			cold = true
-		default:
+		a := f.availabilityOf(now, m)
+		seen[a] = true
+		switch a {
+		case available:
 			reachable = append(reachable, m)
+		case unreachable:
+			unreached = append(unreached, m)
 		}
 	}
 	switch {
 	case len(reachable) > 0:
 		return reachable, Picked
-	case len(unreachable) > 0 && q.FirstAttempt && !cold:
-		unreachable = slices.DeleteFunc(unreachable, func(m *member) bool { return f.coldLimitReached(now, m) })
-		if len(unreachable) == 0 {
+	case len(unreached) > 0 && q.FirstAttempt && !seen[coldLimited]:
+		unreached = slices.DeleteFunc(unreached, func(m *member) bool { return f.coldLimitReached(now, m) })
+		if len(unreached) == 0 {
 			return nil, ColdLimitReached
 		}
-		return unreachable, Picked
-	case len(unreachable) > 0:
+		return unreached, Picked
+	case len(unreached) > 0:
 		return nil, NoneReachable
-	case cold:
+	case seen[coldLimited]:
 		return nil, ColdLimitReached
+	case seen[paused]:
+		return nil, AllPaused
 	}
 	return nil, NoneAllowed
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -44,6 +44,8 @@
 	Disconnects []poison.Disconnect `cbor:"6,keyasint,omitempty"`
 	// Digest is the digest of From's copy of the store.
 	Digest *relay.Digest `cbor:"7,keyasint,omitempty"`
+	// Departures are upstreams that recently announced that they are leaving.
+	Departures []fleet.Departure `cbor:"8,keyasint,omitempty"`
 }
 
 const (
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -49,6 +49,7 @@
 	RollOuts      func(now time.Time) []canary.Report
 	ConfigVersion func() uint64
 	Disconnects   func(now time.Time) []poison.Disconnect
+	Departures    func(now time.Time) []fleet.Departure
 	// Digest returns the digest of this VM's copy of the store; nil before the copy
 	// was first confirmed.
 	Digest func(now time.Time) *relay.Digest
@@ -179,7 +180,10 @@
 // round sends one datagram to each target. With withMembers, the datagram also
 // contains members, roll-outs and broken connections.
 func (s *Service) round(now time.Time, loads []fleet.VMLoad, withMembers bool) {
-	m := Message{From: s.self, Loads: loads, ConfigVersion: s.callbacks.ConfigVersion(), Digest: s.callbacks.Digest(now)}
+	m := Message{
+		From: s.self, Loads: loads, ConfigVersion: s.callbacks.ConfigVersion(), Digest: s.callbacks.Digest(now),
+		Departures: s.callbacks.Departures(now),
+	}
 	s.mu.Lock()
 	if withMembers {
 		m.Members = s.core.NextMembers(now)
@@ -206,8 +210,8 @@
 	}
 }
 
-// encode encodes a message. While the datagram is too long, it halves the broken
-// connections, then the members, then the loads; a later datagram can carry the
+// encode encodes a message. While the datagram is too long, it halves the departures,
+// then the broken connections, then the members, then the loads; a later datagram can carry the
 // dropped entries. If the datagram is still too long without them, it is returned
 // as it is.
 func encode(m Message) []byte {
@@ -220,6 +224,8 @@
 		switch {
 		case len(raw) <= maxDatagramSize:
 			return raw
+		case len(m.Departures) > 0:
+			m.Departures = m.Departures[:len(m.Departures)/2]
 		case len(m.Disconnects) > 0:
 			m.Disconnects = m.Disconnects[:len(m.Disconnects)/2]
 		case len(m.Members) > 0:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,13 +49,27 @@
 	// Revisions holds the latest cached revision of each kind of object, in the
 	// order of catalog.Kinds.
 	Revisions []uint64 `cbor:"2,keyasint"`
+	// Era is the store's era in which the copy was read; see catalog.JoinRevision.
+	Era uint64 `cbor:"3,keyasint,omitempty"`
 }
 
-// NewerThan reports whether the digest has a later revision of any kind than the
-// given revisions. Kinds that are missing in revisions are ignored.
-func (d *Digest) NewerThan(revisions []uint64) bool {
+// Copy is the state of this VM's copy of the store that digests are compared with.
+type Copy struct {
+	// Era is the latest era that any part of the copy was read in, Revisions the
+	// latest cached revision of each kind, in the order of catalog.Kinds.
+	Era       uint64
+	Revisions []uint64
+}
+
+// NewerThan reports whether the digest is of a later era than a copy, or has a later
+// revision of any kind in the same era. Kinds that are missing in the copy are
+// ignored.
+func (d *Digest) NewerThan(local Copy) bool {
+	if d.Era != local.Era {
+		return d.Era > local.Era
+	}
 	for i := range d.Revisions {
-		if i < len(revisions) && d.Revisions[i] > revisions[i] {
+		if i < len(local.Revisions) && d.Revisions[i] > local.Revisions[i] {
 			return true
 		}
 	}
@@ -132,23 +146,28 @@
 	}
 }
 
-// Receive processes a peer's digest and reports whether this VM, whose latest
-// revisions are given, is behind the peer. If it is not, the peer's confirmation
-// also applies here, because this copy contains all changes of the peer's copy.
-func (c *Core) Receive(now time.Time, digest *Digest, revisions []uint64) (behind bool) {
-	if digest.NewerThan(revisions) {
+// Receive processes a peer's digest and reports whether this VM, whose copy is given,
+// is behind the peer. If it is not, the peer's confirmation also applies here,
+// because this copy contains all changes of the peer's copy. A digest of an earlier
+// era confirms nothing: its sender has not noticed yet that the store came back
+// from an older copy.
+func (c *Core) Receive(now time.Time, digest *Digest, local Copy) (behind bool) {
+	if digest.NewerThan(local) {
 		return true
 	}
+	if digest.Era < local.Era {
+		return false
+	}
 	c.Confirm(now.Add(-time.Duration(digest.AgeMS) * time.Millisecond))
 	return false
 }
 
 // Digest returns the digest to send to peers; nil before the first confirmation.
-func (c *Core) Digest(now time.Time, revisions []uint64) *Digest {
+func (c *Core) Digest(now time.Time, local Copy) *Digest {
 	if c.confirmedAt.IsZero() {
 		return nil
 	}
-	return &Digest{AgeMS: now.Sub(c.confirmedAt).Milliseconds(), Revisions: revisions}
+	return &Digest{AgeMS: now.Sub(c.confirmedAt).Milliseconds(), Revisions: local.Revisions, Era: local.Era}
 }
 
 // Decide returns the decision. The zone lists the live VMs of this VM's zone,
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -110,13 +110,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			k := newTestCore("a")
-			behind := k.Receive(begin.Add(time.Second), &Digest{AgeMS: 400, Revisions: c.remote}, c.local)
+			behind := k.Receive(begin.Add(time.Second), &Digest{AgeMS: 400, Revisions: c.remote}, Copy{Revisions: c.local})
 			assert.Equal(t, c.behind, behind)
 			if c.behind {
-				assert.Nil(t, k.Digest(begin.Add(time.Second), c.local))
+				assert.Nil(t, k.Digest(begin.Add(time.Second), Copy{Revisions: c.local}))
 				return
 			}
-			assert.Equal(t, int64(500), k.Digest(begin.Add(1100*time.Millisecond), c.local).AgeMS)
+			assert.Equal(t, int64(500), k.Digest(begin.Add(1100*time.Millisecond), Copy{Revisions: c.local}).AgeMS)
 		})
 	}
 }
@@ -201,13 +201,13 @@
 // gossip sends a datagram to three VMs. A receiver that is behind and may fetch
 // from the sender does so at once.
 func (w *world) gossip(v *simulatedVM) {
-	digest := v.core.Digest(w.now, []uint64{v.revision})
+	digest := v.core.Digest(w.now, Copy{Revisions: []uint64{v.revision}})
 	for range 3 {
 		to := w.vms[w.rng.IntN(len(w.vms))]
 		if to == v || to.frozen || w.rng.Float64() < 0.1 {
 			continue
 		}
-		if to.core.Receive(w.now, digest, []uint64{to.revision}) && to.mayFetch(to.zone == v.zone) {
+		if to.core.Receive(w.now, digest, Copy{Revisions: []uint64{to.revision}}) && to.mayFetch(to.zone == v.zone) {
 			to.revision = v.revision
 			w.crossZoneFetches += btoi(to.zone != v.zone && !to.isReader)
 		}
@@ -287,3 +287,17 @@
 	}
 	assert.Greater(t, maxLag, propagationLimit)
 }
+
+// A VM that still lives in an earlier era of the store must neither confirm a copy
+// of a later one nor pass for newer, and must notice that it is behind.
+func TestDigestsOfOtherEras(t *testing.T) {
+	later := Copy{Era: 2, Revisions: []uint64{1}}
+	earlier := Copy{Era: 1, Revisions: []uint64{90}}
+	digestOf := func(c Copy) *Digest { return &Digest{AgeMS: 100, Revisions: c.Revisions, Era: c.Era} }
+	k := newTestCore("a")
+	assert.False(t, k.Receive(begin.Add(time.Second), digestOf(earlier), later))
+	assert.Nil(t, k.Digest(begin.Add(time.Second), later), "not confirmed")
+	assert.True(t, k.Receive(begin.Add(time.Second), digestOf(later), earlier))
+	assert.False(t, k.Receive(begin.Add(time.Second), digestOf(later), later))
+	assert.Equal(t, uint64(2), k.Digest(begin.Add(time.Second), later).Era)
+}
