--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -82,7 +82,7 @@
 	startedAt             time.Time // when any VM first saw the roll-out, on this VM's clock
 	judgedBad             bool
 	countersByIncarnation map[string]Counters
-	oldSessions           map[uint32]bool
+	oldBuckets            bucketSet
 	cursor                int // index of the incarnation whose counters were reported last
 }
 
@@ -129,7 +129,7 @@
 			return false
 		}
 		c.recordReplaced(r)
-		c.rollOuts[o.Service] = &rollOutState{rollOut: o, storedPhase: o.Phase, startedAt: now, countersByIncarnation: map[string]Counters{c.incarnation: newCounters()}, oldSessions: make(map[uint32]bool)}
+		c.rollOuts[o.Service] = &rollOutState{rollOut: o, storedPhase: o.Phase, startedAt: now, countersByIncarnation: map[string]Counters{c.incarnation: newCounters()}}
 		return true
 	}
 	phase := max(r.rollOut.Phase, o.Phase) // a reported phase is final
@@ -210,7 +210,7 @@
 		return Rule{Preferred: isNew, Fallback: isOld, Reason: "session on new"}
 	// In the trial, sessions on the old version stay there. Until the VMs have had
 	// time to exchange these sessions, all other requests use it as well.
-	case trial && (pinned != "" || r.oldSessions[sessionHash(key)] || now.Sub(r.startedAt) < sessionExchangeWindow):
+	case trial && (pinned != "" || r.oldBuckets.has(key) || now.Sub(r.startedAt) < sessionExchangeWindow):
 		return Rule{Preferred: isOld, Reason: "session on old"}
 	case hashFraction(target+key) < share:
 		return Rule{Preferred: isNew, Fallback: isOld, Reason: "new"}
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -320,3 +320,95 @@
 	assert.True(t, c.SetRollOut(at(25*time.Second), next))
 	assert.True(t, c.SetRollOut(at(25*time.Second).Add(rewriteTimeout), done), "operators may go back to a version")
 }
+
+// largeFleet is a fleet whose VMs send their reports to a few others, as package
+// gossip does.
+type largeFleet struct {
+	rng   *rand.Rand
+	cores []*Core
+}
+
+func newLargeFleet(seed uint64, vms int) *largeFleet {
+	f := &largeFleet{rng: rand.New(rand.NewPCG(seed, 3))}
+	for i := range vms {
+		f.cores = append(f.cores, New(fmt.Sprintf("vm-%d", i), exposure, ttl))
+	}
+	return f
+}
+
+func (f *largeFleet) exchange(now time.Time, targets int) {
+	for _, from := range f.cores {
+		for _, r := range from.Reports(now) {
+			for range targets {
+				if f.rng.Float64() > 0.05 {
+					f.cores[f.rng.IntN(len(f.cores))].Merge(now, r)
+				}
+			}
+		}
+	}
+}
+
+// session is a caller's session whose requests reach any VM.
+type session struct {
+	name    string
+	version string
+	endedAt time.Duration
+	nextAt  time.Duration
+}
+
+// Sessions whose requests reach any VM of a large fleet must keep their version
+// during the trial, also those that began just before it.
+func TestSessionsKeepTheirVersionInALargeFleet(t *testing.T) {
+	const vms, sessionCount, step = 295, 3000, 100 * time.Millisecond
+	for seed := range uint64(2) {
+		f := newLargeFleet(seed, vms)
+		sessions := make([]session, sessionCount)
+		for i := range sessions {
+			sessions[i].name = fmt.Sprint("s", i)
+			sessions[i].nextAt = time.Duration(f.rng.Int64N(int64(5 * time.Second)))
+		}
+		moved, onNew := 0, 0
+		const announcedAt = 4 * time.Second
+		for now := time.Duration(0); now < announcedAt+duration/2; now += step {
+			if now >= announcedAt && now < announcedAt+300*time.Millisecond {
+				for i := range f.cores { // the VMs receive the roll-out within 0.3 s
+					if i%3 == int((now-announcedAt)/step) {
+						f.cores[i].SetRollOut(at(now), RollOut{Service: service, NewVersion: newVersion, Duration: duration})
+					}
+				}
+			}
+			for i := range sessions {
+				s := &sessions[i]
+				if now < s.nextAt {
+					continue
+				}
+				c := f.cores[f.rng.IntN(vms)]
+				v := chosenVersion(c, at(now), s.name, "")
+				if now < announcedAt+300*time.Millisecond {
+					v = oldVersion // not all VMs list the new version yet
+				}
+				if s.version != "" && s.version != v && now-s.endedAt < ttl {
+					moved++
+				}
+				if v == newVersion {
+					onNew++
+				}
+				c.AttemptStarted(at(now), service, s.name, v)
+				s.version, s.endedAt = v, now+400*time.Millisecond
+				s.nextAt = s.endedAt + time.Duration(f.rng.Int64N(int64(ttl)))
+				if f.rng.IntN(3) == 0 { // the next request begins another session
+					s.name, s.version = fmt.Sprint(s.name, "+"), ""
+				}
+			}
+			interval := time.Second
+			if f.cores[0].IsUrgent(at(now)) {
+				interval = 200 * time.Millisecond
+			}
+			if now%interval == 0 {
+				f.exchange(at(now), 12)
+			}
+		}
+		assert.LessOrEqual(t, moved, 1, "seed %d: sessions that changed their version", seed)
+		assert.Greater(t, onNew, 100, "seed %d: requests on the new version", seed)
+	}
+}
--- a/internal/canary/report.go
+++ b/internal/canary/report.go
@@ -4,13 +4,9 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// maxReportedSessions is the maximum number of sessions in one report.
-	maxReportedSessions = 48
 	// maxRelayedVMs is the maximum number of other VMs whose counters one report
 	// includes.
 	maxRelayedVMs = 6
@@ -27,9 +23,41 @@
 	// CountersByIncarnation holds counters by VM incarnation; a report includes only
 	// some VMs.
 	CountersByIncarnation map[string]Counters `cbor:"5,keyasint"`
-	// OldSessions holds the hashes of sessions that belong to the trial's share but
-	// use the old version.
-	OldSessions []uint32 `cbor:"6,keyasint,omitempty"`
+	// OldBuckets is a bitmap of the buckets of sessions that belong to the trial's
+	// share but use the old version; see sessionBucket.
+	OldBuckets []byte `cbor:"7,keyasint,omitempty"`
+
+	own string // the reporting incarnation
+}
+
+// Shorten halves the counters of other VMs in the report and reports whether there
+// were any. Later reports carry them.
+func (r *Report) Shorten() bool {
+	relayed := len(r.CountersByIncarnation) - 1
+	if relayed <= 0 {
+		return false
+	}
+	for name := range r.CountersByIncarnation {
+		if name != r.own && len(r.CountersByIncarnation)-1 > relayed/2 {
+			delete(r.CountersByIncarnation, name)
+		}
+	}
+	return true
+}
+
+// urgentPeriod is how long after the start of a roll-out VMs exchange their reports
+// more often: a session that begins at one VM just before the trial must be known
+// to the VM of its next request.
+const urgentPeriod = sessionExchangeWindow + 1500*time.Millisecond
+
+// IsUrgent reports whether the reports should be exchanged more often now.
+func (c *Core) IsUrgent(now time.Time) bool {
+	for _, r := range c.rollOuts {
+		if r.rollOut.Phase == InProgress && now.Sub(r.startedAt) < urgentPeriod {
+			return true
+		}
+	}
+	return false
 }
 
 // Reports returns this VM's state of the roll-outs in progress, for other VMs.
@@ -41,7 +69,8 @@
 		}
 		out = append(out, Report{
 			Service: r.rollOut.Service, NewVersion: r.rollOut.NewVersion, AgeMS: now.Sub(r.startedAt).Milliseconds(),
-			JudgedBad: r.judgedBad, CountersByIncarnation: c.reportedCounters(r), OldSessions: c.reportedOldSessions(now, r),
+			JudgedBad: r.judgedBad, CountersByIncarnation: c.reportedCounters(r), OldBuckets: c.reportedOldBuckets(now, r),
+			own: c.incarnation,
 		})
 	}
 	return out
@@ -60,30 +89,20 @@
 	return out
 }
 
-// reportedOldSessions returns the hashes of sessions that belong to the trial's
-// share but use the old version.
-func (c *Core) reportedOldSessions(now time.Time, r *rollOutState) []uint32 {
+// reportedOldBuckets returns the buckets of sessions that belong to the trial's share
+// but use the old version, as far as this VM knows; nil after the trial. All VMs
+// have sessions, and one bitmap of a constant size holds what all of them report.
+func (c *Core) reportedOldBuckets(now time.Time, r *rollOutState) []byte {
 	if r.progress(now) >= trialEnd {
 		return nil
 	}
 	inTrial := func(session string) bool { return hashFraction(r.rollOut.NewVersion+session) < c.newVersionShare(0) }
 	for _, session := range c.sessions.matching(now, r.rollOut.Service, inTrial, func(v string) bool { return v != r.rollOut.NewVersion }) {
-		r.oldSessions[sessionHash(session)] = true
-	}
-	hashes := slices.Sorted(maps.Keys(r.oldSessions))
-	if len(hashes) <= maxReportedSessions {
-		return hashes
+		r.oldBuckets.add(session)
 	}
-	out := make([]uint32, 0, maxReportedSessions)
-	for i := range maxReportedSessions {
-		out = append(out, hashes[(r.cursor+i)%len(hashes)])
-	}
-	return out
+	return slices.Clone(r.oldBuckets[:])
 }
 
-// sessionHash returns a short hash that stands for a session in reports.
-func sessionHash(session string) uint32 { return uint32(xxhash.Sum64String(session)) }
-
 func (c Counters) clone() Counters {
 	out := newCounters()
 	out.OldRunning = c.OldRunning
@@ -118,9 +137,7 @@
 	if startedAt := now.Add(-time.Duration(report.AgeMS) * time.Millisecond); startedAt.Before(r.startedAt) {
 		r.startedAt = startedAt
 	}
-	for _, session := range report.OldSessions {
-		r.oldSessions[session] = true
-	}
+	r.oldBuckets.merge(report.OldBuckets)
 	for name, counters := range report.CountersByIncarnation {
 		if name == c.incarnation {
 			continue
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -14,6 +14,7 @@
 	return gossip.Callbacks{
 		Loads:           s.fleet.VMLoads,
 		RollOuts:        s.rollOutReports,
+		IsUrgent:        s.isRollOutUrgent,
 		ConfigVersion:   s.configVersion,
 		Disconnects:     s.recentDisconnects,
 		Departures:      s.fleet.RecentDepartures,
@@ -29,6 +30,12 @@
 	return s.canary.Reports(now)
 }
 
+func (s *Proxy) isRollOutUrgent(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.canary.IsUrgent(now)
+}
+
 func (s *Proxy) recentDisconnects(now time.Time) []poison.Disconnect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -131,6 +131,7 @@
 			RollOuts: func(time.Time) []canary.Report {
 				return []canary.Report{{Service: "s", NewVersion: "v2", AgeMS: 5}}
 			},
+			IsUrgent:        func(time.Time) bool { return false },
 			ConfigVersion:   func() uint64 { return 7 },
 			Disconnects:     func(time.Time) []poison.Disconnect { return nil },
 			Departures:      func(time.Time) []fleet.Departure { return []fleet.Departure{{Upstream: "u2", Incarnation: 4}} },
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -40,13 +40,17 @@
 	membersInterval     = time.Second
 	fastMembersInterval = 400 * time.Millisecond
 	fastMembersPeriod   = 15 * time.Second
+	// urgentInterval replaces membersInterval while Callbacks.IsUrgent is true.
+	urgentInterval = 200 * time.Millisecond
 )
 
 // Callbacks provide the contents of datagrams and receive messages and the current
 // membership.
 type Callbacks struct {
-	Loads         func(limit int) []fleet.VMLoad
-	RollOuts      func(now time.Time) []canary.Report
+	Loads    func(limit int) []fleet.VMLoad
+	RollOuts func(now time.Time) []canary.Report
+	// IsUrgent reports whether the reports of roll-outs should be sent more often.
+	IsUrgent      func(now time.Time) bool
 	ConfigVersion func() uint64
 	Disconnects   func(now time.Time) []poison.Disconnect
 	Departures    func(now time.Time) []fleet.Departure
@@ -151,18 +155,15 @@
 		}
 		now := time.Now()
 		loads := s.callbacks.Loads(maxLoads)
-		currentMembersInterval := membersInterval
-		if now.Sub(startedAt) < fastMembersPeriod {
-			currentMembersInterval = fastMembersInterval
-		}
+		interval := s.membersInterval(now, startedAt)
 		// After the last request, busy causes one more datagram, which shows that no
 		// request is in flight.
-		due := len(loads) > 0 || busy || now.Sub(lastSent) >= heartbeatInterval || s.hasNewPeers()
+		due := len(loads) > 0 || busy || now.Sub(lastSent) >= min(heartbeatInterval, interval) || s.hasNewPeers()
 		busy = len(loads) > 0
 		if !due {
 			continue
 		}
-		withMembers := now.Sub(lastMembers) >= currentMembersInterval
+		withMembers := now.Sub(lastMembers) >= interval
 		if withMembers {
 			lastMembers = now
 		}
@@ -171,6 +172,17 @@
 	}
 }
 
+// membersInterval returns the current interval between rounds with members.
+func (s *Service) membersInterval(now, startedAt time.Time) time.Duration {
+	switch {
+	case s.callbacks.IsUrgent(now):
+		return urgentInterval
+	case now.Sub(startedAt) < fastMembersPeriod:
+		return fastMembersInterval
+	}
+	return membersInterval
+}
+
 func (s *Service) hasNewPeers() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -211,9 +223,9 @@
 }
 
 // encode encodes a message. While the datagram is too long, it halves the departures,
-// then the broken connections, then the members, then the loads; a later datagram can carry the
-// dropped entries. If the datagram is still too long without them, it is returned
-// as it is.
+// then the broken connections, the relayed counters of roll-outs, the members and
+// the loads; a later datagram can carry the dropped entries. If the datagram is
+// still too long without them, it is returned as it is.
 func encode(m Message) []byte {
 	for {
 		raw, err := cbor.Marshal(m)
@@ -228,6 +240,7 @@
 			m.Departures = m.Departures[:len(m.Departures)/2]
 		case len(m.Disconnects) > 0:
 			m.Disconnects = m.Disconnects[:len(m.Disconnects)/2]
+		case shortenReports(m.RollOuts):
 		case len(m.Members) > 0:
 			m.Members = m.Members[:len(m.Members)/2]
 		case len(m.Loads) > 0:
@@ -237,3 +250,13 @@
 		}
 	}
 }
+
+// shortenReports shortens the reports of roll-outs and reports whether any of them
+// became shorter.
+func shortenReports(reports []canary.Report) bool {
+	shorter := false
+	for i := range reports {
+		shorter = reports[i].Shorten() || shorter
+	}
+	return shorter
+}
