--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 )
@@ -27,8 +28,8 @@
 //   - A name is in at most one of objects and tombstones.
 //   - An object whose latest change in the store is at or below completeRevision
 //     is cached in its current state.
-//   - Every received deletion above tombstoneFloor is in tombstones, unless a later
-//     change of the same object was received.
+//   - Every deletion above tombstoneFloor and outside of gaps is in tombstones, unless
+//     a later change of the same object was received.
 type kindState struct {
 	objects map[string]Object
 	// tombstones holds the revisions of deletions by object name.
@@ -40,20 +41,36 @@
 	completeRevision uint64
 	// tombstoneFloor is the revision up to which tombstones have been removed.
 	tombstoneFloor uint64
+	// gaps are spans in which an object may have been created and deleted unnoticed,
+	// because the kind was listed again at their end; oldest first.
+	gaps []Gap
 	// listed is true once the kind has been listed.
 	listed bool
 }
 
-// defaultMaxUpdateChanges limits the changes in one partial update, usually to
-// about 100 KB, which the slowest link transfers in a tenth of a second. The
+// Gap is a span of revisions, without its ends. A copy that is complete up to a
+// revision in it may hold objects of whose deletion a VM with this gap knows nothing.
+type Gap struct {
+	After uint64 `json:"after"`
+	Until uint64 `json:"until"`
+}
+
+// maxGaps limits the gaps that are kept for one kind.
+const maxGaps = 32
+
+// defaultMaxUpdateChanges limits the objects in one partial update, usually to about
+// 100 KB, which the slowest link transfers in a tenth of a second. The
 // receiver requests the rest in further updates.
 const defaultMaxUpdateChanges = 200
 
 // Update is an update of one kind that a VM sends to another VM.
 type Update struct {
-	// Full is true when Objects is the full list. Otherwise Objects and Deletions
-	// hold the oldest changes since the requested revision.
+	// Full is true when Objects is the full list, and Deletions holds the deletions
+	// above Floor that were not in Gaps. Otherwise Objects holds the oldest changes since the requested
+	// revision, and Deletions all deletions since then.
 	Full      bool              `json:"whole,omitempty"`
+	Floor     uint64            `json:"floor,omitempty"`
+	Gaps      []Gap             `json:"gaps,omitempty"`
 	Objects   []Object          `json:"objects,omitempty"`
 	Deletions map[string]uint64 `json:"gone,omitempty"`
 	// CompleteRevision is the store's revision up to which the receiver has the
@@ -143,6 +160,10 @@
 
 // Replace replaces the objects of a kind with a full list that was read at a
 // revision. Newer cached changes are kept. It returns the resulting list.
+//
+// The first list of an era says nothing about what was deleted before it. A later
+// one does: cached objects that it lacks were deleted since, at the latest at its
+// revision, which therefore stands for the unknown revisions of these deletions.
 func (c *Cache) Replace(kind Kind, list []Object, revision uint64) []Object {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -150,25 +171,87 @@
 	if revision < s.completeRevision {
 		return s.sorted()
 	}
+	first := s.isFirstList(revision)
 	listed := make(map[string]bool, len(list))
 	for _, o := range list {
 		listed[o.Name] = true
 		s.put(o)
 	}
 	for name, o := range s.objects {
-		if !listed[name] && o.Revision <= revision {
-			delete(s.objects, name)
+		if listed[name] || o.Revision > revision {
+			continue
+		}
+		delete(s.objects, name)
+		if !first {
+			s.tombstones[name] = revision
+			s.latest = max(s.latest, revision)
 		}
 	}
-	s.completeRevision, s.tombstoneFloor, s.listed = revision, revision, true
+	if first {
+		s.dropTombstones(revision)
+	} else {
+		s.addGap(Gap{After: s.completeRevision, Until: revision})
+	}
+	s.completeRevision, s.listed = revision, true
 	// A kind without changes in an era still shows that it was read in it.
 	s.latest = max(s.latest, JoinRevision(EraOf(revision), 0))
+	s.trimTombstones()
+	return s.sorted()
+}
+
+// ReplaceByUpdate is Replace for a full list from another VM. If it is this VM's
+// first list of the era, it takes over the other VM's tombstones, so that it can
+// later send partial updates to VMs whose copies are as old as that VM's.
+func (c *Cache) ReplaceByUpdate(kind Kind, u Update) []Object {
+	c.mu.Lock()
+	s := c.kind(kind)
+	first := s.isFirstList(u.CompleteRevision)
+	c.mu.Unlock()
+	out := c.Replace(kind, u.Objects, u.CompleteRevision)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if first && s.completeRevision == u.CompleteRevision {
+		s.tombstoneFloor, s.gaps = u.Floor, slices.Clone(u.Gaps)
+		for name, deletedAt := range u.Deletions {
+			if _, found := s.objects[name]; !found {
+				s.tombstones[name] = deletedAt
+			}
+		}
+	}
+	return out
+}
+
+// isFirstList reports whether a list that was read at a revision is the first one of
+// its era.
+func (s *kindState) isFirstList(revision uint64) bool {
+	return !s.listed || EraOf(revision) > EraOf(s.completeRevision)
+}
+
+// dropTombstones removes the tombstones up to a revision.
+func (s *kindState) dropTombstones(revision uint64) {
+	s.tombstoneFloor = max(s.tombstoneFloor, revision)
 	for name, deletedAt := range s.tombstones {
-		if deletedAt <= revision {
+		if deletedAt <= s.tombstoneFloor {
 			delete(s.tombstones, name)
 		}
 	}
-	return s.sorted()
+	s.gaps = slices.DeleteFunc(s.gaps, func(g Gap) bool { return g.Until <= s.tombstoneFloor })
+}
+
+func (s *kindState) addGap(g Gap) {
+	if g.Until <= g.After+1 {
+		return
+	}
+	s.gaps = append(s.gaps, g)
+	if len(s.gaps) > maxGaps {
+		s.dropTombstones(s.gaps[0].Until)
+	}
+}
+
+// knowsDeletionsSince reports whether all deletions after a revision are known.
+func (s *kindState) knowsDeletionsSince(revision uint64) bool {
+	inGap := func(g Gap) bool { return g.After < revision && revision < g.Until }
+	return revision >= s.tombstoneFloor && !slices.ContainsFunc(s.gaps, inGap)
 }
 
 // Apply applies the changes up to a revision and returns those that changed the
@@ -199,46 +282,46 @@
 		return Update{}, false
 	}
 	u := Update{CompleteRevision: s.completeRevision, LatestRevision: s.latest}
-	if revision < s.tombstoneFloor {
+	if !s.knowsDeletionsSince(revision) {
 		if !allowFull {
 			return Update{}, false
 		}
-		u.Full = true
-		u.Objects = s.sorted()
+		u.Full, u.Floor, u.Gaps = true, s.tombstoneFloor, slices.Clone(s.gaps)
+		u.Objects, u.Deletions = s.sorted(), maps.Clone(s.tombstones)
 		return u, true
 	}
-	u.Deletions = make(map[string]uint64)
-	changes := s.changesSince(revision)
-	if len(changes) > c.maxUpdateChanges {
-		changes = changes[:c.maxUpdateChanges]
-		u.CompleteRevision = changes[c.maxUpdateChanges-1].Object.Revision
+	u.Objects, u.Deletions = s.objectsSince(revision), s.deletionsSince(revision)
+	if len(u.Objects) > c.maxUpdateChanges {
+		u.Objects = u.Objects[:c.maxUpdateChanges]
+		u.CompleteRevision = u.Objects[c.maxUpdateChanges-1].Revision
 		u.LatestRevision = u.CompleteRevision
 	}
-	for _, change := range changes {
-		if change.Deleted {
-			u.Deletions[change.Object.Name] = change.Object.Revision
-		} else {
-			u.Objects = append(u.Objects, change.Object)
-		}
-	}
 	return u, true
 }
 
-// changesSince returns the latest change of each object that changed after a
-// revision, oldest first.
-func (s *kindState) changesSince(revision uint64) []Change {
-	var out []Change
+// objectsSince returns the objects that changed after a revision, oldest change
+// first.
+func (s *kindState) objectsSince(revision uint64) []Object {
+	var out []Object
 	for _, o := range s.objects {
 		if o.Revision > revision {
-			out = append(out, Change{Object: o})
+			out = append(out, o)
 		}
 	}
+	slices.SortFunc(out, func(a, b Object) int { return cmp.Compare(a.Revision, b.Revision) })
+	return out
+}
+
+// deletionsSince returns the deletions after a revision, by object name. An update
+// includes all of them, because some may have happened earlier than their tombstones
+// say; see Cache.Replace.
+func (s *kindState) deletionsSince(revision uint64) map[string]uint64 {
+	out := make(map[string]uint64)
 	for name, at := range s.tombstones {
 		if at > revision {
-			out = append(out, Change{Object: Object{Name: name, Revision: at}, Deleted: true})
+			out[name] = at
 		}
 	}
-	slices.SortFunc(out, func(a, b Change) int { return cmp.Compare(a.Object.Revision, b.Object.Revision) })
 	return out
 }
 
@@ -298,12 +381,7 @@
 		revisions = append(revisions, r)
 	}
 	slices.Sort(revisions)
-	s.tombstoneFloor = max(s.tombstoneFloor, revisions[len(revisions)/2])
-	for name, r := range s.tombstones {
-		if r <= s.tombstoneFloor {
-			delete(s.tombstones, name)
-		}
-	}
+	s.dropTombstones(revisions[len(revisions)/2])
 }
 
 func (s *kindState) sorted() []Object {
--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -13,6 +13,9 @@
 	// minOutage is how long the store must be unavailable before its recovery is
 	// reported to the handlers.
 	minOutage = 700 * time.Millisecond
+	// minConfirmDelay is how long after the prober's first response the other watchers
+	// have received changes that were due.
+	minConfirmDelay = 50 * time.Millisecond
 	// peerProbeInterval is the minimum interval between probes that are triggered
 	// by other VMs. Without it, a VM that the store rejects would probe after each
 	// datagram of a VM to which the store responds.
@@ -35,13 +38,18 @@
 	watchers []*Watcher
 	prober   *Watcher
 	mode     Mode
-	// jitter is true when the prober's waits are randomized.
-	jitter bool
+	// proberWait limits the prober's waits and delays; zero for no limit.
+	proberWait time.Duration
 	// failingSince is when the current outage began; zero while the store responds.
 	failingSince time.Time
 	// recoveredAt is when the store last recovered from an outage of at least
 	// minOutage, as seen by this VM or reported by another VM.
 	recoveredAt time.Time
+	// unproven is true from SetMode(Watching) until the prober's first response. Only
+	// the prober calls the store meanwhile. From confirmableFrom on, the prober's
+	// responses confirm the copy: the other watchers have called the store, too.
+	unproven        bool
+	confirmableFrom time.Time
 	// confirmedAt is when the prober last received a response. It is set just before
 	// the response is applied.
 	confirmedAt time.Time
@@ -123,27 +131,29 @@
 		return
 	}
 	g.mode = mode
-	if mode == Watching {
-		g.prober.shortenNextWait()
-	}
+	g.unproven = mode == Watching
 	for _, w := range g.watchers {
 		w.restart(0)
 	}
 }
 
-// SetJitter sets whether the prober's waits are randomized, so that the VMs that
-// read for others receive responses at different times.
-func (g *Group) SetJitter(jitter bool) {
+// SetProberWait limits the prober's waits and the delays after its changes, and
+// randomizes them, so that the VMs that read for others receive responses often
+// enough and at different times. Zero means no limit.
+func (g *Group) SetProberWait(limit time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.jitter = jitter
+	g.proberWait = limit
 }
 
-// hasJitter reports whether the waits of a watcher are randomized.
-func (g *Group) hasJitter(w *Watcher) bool {
+// proberLimit returns the limit of the waits of a watcher; zero for none.
+func (g *Group) proberLimit(w *Watcher) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.jitter && w == g.prober
+	if w != g.prober {
+		return 0
+	}
+	return g.proberWait
 }
 
 // mayCall reports whether a watcher may call the store now.
@@ -153,7 +163,22 @@
 	if g.mode == Idle || g.mode == Listing && w.canWatch() {
 		return false
 	}
-	return g.failingSince.IsZero() || w == g.prober
+	return w == g.prober || g.failingSince.IsZero() && !g.unproven
+}
+
+// isUnproven reports whether the prober's first response since SetMode(Watching) is
+// still missing.
+func (g *Group) isUnproven() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.unproven
+}
+
+// TriesInVain reports whether this VM calls the store and gets no response.
+func (g *Group) TriesInVain() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.mode != Idle && (g.unproven || !g.failingSince.IsZero())
 }
 
 // StoreUnavailable reports whether calls to the store currently fail.
@@ -182,7 +207,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	if w == g.prober {
+	if g.unproven && w == g.prober {
+		g.unproven, g.confirmableFrom = false, now.Add(minConfirmDelay)
+		w.shortenNextWait()
+		g.restartOthers(w)
+	}
+	if w == g.prober && !now.Before(g.confirmableFrom) {
 		g.confirmedAt = now
 	}
 	if g.failingSince.IsZero() || w.callStartTime().Before(g.failingSince) {
@@ -243,8 +273,9 @@
 	}
 }
 
-// replace applies a full list of a kind.
-func (g *Group) replace(kind Kind, list []Object, revision uint64) {
+// replace applies a full list of a kind, which the function merge merges into the
+// cache.
+func (g *Group) replace(kind Kind, revision uint64, merge func() []Object) {
 	g.applyMu.Lock()
 	defer g.applyMu.Unlock()
 	before := g.cache.CompleteRevision(kind)
@@ -252,7 +283,7 @@
 	if newEra {
 		klog.InfoS("catalog: the store began a new era; it came back from an older copy", "kind", kind, "era", EraOf(revision), "before", EraOf(before))
 	}
-	g.handlers[kind].Replace(g.cache.Replace(kind, list, revision), newEra)
+	g.handlers[kind].Replace(merge(), newEra)
 	if newEra {
 		g.restartEarlierEras()
 	}
@@ -274,7 +305,7 @@
 		return
 	}
 	if u.Full {
-		g.replace(kind, u.Objects, u.CompleteRevision)
+		g.replace(kind, u.CompleteRevision, func() []Object { return g.cache.ReplaceByUpdate(kind, u) })
 	} else {
 		changes := make([]Change, 0, len(u.Objects)+len(u.Deletions))
 		for _, o := range u.Objects {
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -26,15 +26,18 @@
 	minBackoff     = 150 * time.Millisecond
 	maxListBackoff = 1200 * time.Millisecond
 	// maxProbeWait limits the wait of watch calls while the store is unavailable, and
-	// of the prober's first watch call after SetMode(Watching). It is short because a
+	// of the prober's second watch call after SetMode(Watching). It is short because a
 	// call that is sent during an outage may never be answered.
-	maxProbeWait = 300 * time.Millisecond
+	maxProbeWait = 150 * time.Millisecond
+	// proofWait is the wait of the prober's first watch call after SetMode(Watching),
+	// for whose response the other watchers wait.
+	proofWait = time.Millisecond
 	// minRestartAge is the minimum age of a call that restartOthers cancels. A
 	// younger call is assumed to be healthy.
 	minRestartAge = 300 * time.Millisecond
-	// minWaitShare is the smallest share of the full wait or delay that remains when
+	// minWaitShare is the smallest share of a limited wait or delay that remains when
 	// it is randomized.
-	minWaitShare = 0.1
+	minWaitShare = 0.6
 	// maxIdleSleep is the longest sleep of a watcher that must not call the store at
 	// the moment. It is woken earlier when it may call again.
 	maxIdleSleep = time.Minute
@@ -155,7 +158,7 @@
 	}
 	w.callSucceeded()
 	w.setRelist(false)
-	w.group.replace(w.kind, list, revision)
+	w.group.replace(w.kind, revision, func() []Object { return w.group.cache.Replace(w.kind, list, revision) })
 	return nil
 }
 
@@ -188,7 +191,10 @@
 
 // nextWait returns how long the next watch call waits for a change.
 func (w *Watcher) nextWait() time.Duration {
-	unavailable, hasJitter := w.group.StoreUnavailable(), w.group.hasJitter(w)
+	if w.group.isUnproven() {
+		return proofWait
+	}
+	unavailable, limit := w.group.StoreUnavailable(), w.group.proberLimit(w)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	short := w.shortNextWait || unavailable
@@ -196,24 +202,22 @@
 	if short {
 		return min(maxProbeWait, w.pace.MaxWait)
 	}
-	if hasJitter {
-		return withJitter(w.pace.MaxWait)
-	}
-	return w.pace.MaxWait
+	return withLimit(w.pace.MaxWait, limit)
 }
 
 // batchDelay returns the delay after a change.
 func (w *Watcher) batchDelay() time.Duration {
-	if w.group.hasJitter(w) {
-		return withJitter(w.pace.BatchDelay)
-	}
-	return w.pace.BatchDelay
+	return withLimit(w.pace.BatchDelay, w.group.proberLimit(w))
 }
 
-// withJitter returns a random duration between minWaitShare of d and d.
-func withJitter(d time.Duration) time.Duration {
-	minimum := time.Duration(minWaitShare * float64(d))
-	return minimum + rand.N(d-minimum)
+// withLimit returns d, or a random duration between minWaitShare of the limit and the
+// limit if there is one and it is lower.
+func withLimit(d, limit time.Duration) time.Duration {
+	if limit <= 0 || d <= limit {
+		return d
+	}
+	minimum := time.Duration(minWaitShare * float64(limit))
+	return minimum + rand.N(limit-minimum)
 }
 
 // shortenNextWait limits the wait of the next watch call to maxProbeWait.
--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -114,7 +114,7 @@
 	defer stop()
 	var background sync.WaitGroup
 	watchers := a.follower.NewWatchers()
-	a.follower.updateReadDecision(time.Now(), []string{a.options.Settings.Name})
+	a.follower.updateReadDecision(time.Now(), []string{a.options.Settings.Name}, 1)
 	for _, w := range watchers {
 		background.Go(func() { w.Run(backgroundCtx) })
 	}
@@ -132,16 +132,17 @@
 }
 
 // startGossip starts the exchange of state with the other VMs. It returns a
-// function that lists the live VMs in this VM's zone.
-func (a *App) startGossip(ctx context.Context, background *sync.WaitGroup) (liveInZone func() []string, err error) {
+// function that lists the live VMs in this VM's zone and counts the zones.
+func (a *App) startGossip(ctx context.Context, background *sync.WaitGroup) (liveInZone func() ([]string, int), err error) {
 	settings := a.options.Settings
 	if settings.PeerAddress == "" {
 		klog.InfoS("gossip: disabled, because no address for peers is configured")
-		return func() []string { return []string{settings.Name} }, nil
+		return func() ([]string, int) { return []string{settings.Name}, 1 }, nil
 	}
 	self := gossip.Member{Name: settings.Name, Incarnation: a.start, Address: settings.PeerAddress, Zone: settings.Zone}
 	callbacks := a.proxy.gossipCallbacks()
 	callbacks.Digest = a.follower.localDigest
+	callbacks.StoreTrouble = a.follower.storeTrouble
 	callbacks.OnMessage = func(now time.Time, m gossip.Message) {
 		a.follower.receiveDigest(now, m)
 		a.proxy.applyMessage(now, m)
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -23,8 +23,11 @@
 	// shortMaxWaitShare is the short wait time as a share of the stability
 	// window.
 	shortMaxWaitShare = 0.8
-	// longMaxWait is the wait time of the other watches; the store allows 30 s.
-	longMaxWait = 28 * time.Second
+	// longMaxWait is the wait time of the other watches; the store allows 30 s. It is
+	// lowered to maxHistoryShare of the store's history: a watch that waited longer
+	// would begin after the end of the history when it is repeated.
+	longMaxWait     = 28 * time.Second
+	maxHistoryShare = 0.7
 	// batchDelayShare is the delay after a change, as a share of
 	// Bounds.MaxConfigApplyTime, so that one call reads several changes.
 	// upstreamBatchDelayShare is a share of Bounds.DrainPeriod, after which a
@@ -53,6 +56,7 @@
 	source    catalog.Source
 	docs      Documents
 	bounds    vm.Bounds
+	history   time.Duration // of the store; zero if unknown
 	withdrawn withdrawnZones
 	rollOuts  map[string]rollOutObject // keyed by object name
 	loaded    struct{ config, upstreams atomic.Bool }
@@ -84,7 +88,7 @@
 // NewFollower returns a follower that has not loaded anything yet.
 func NewFollower(s *Proxy, o Options, startedAt time.Time) *Follower {
 	return &Follower{
-		proxy: s, source: o.Source, docs: o.Documents, bounds: o.Settings.Bounds, zone: o.Settings.Zone,
+		proxy: s, source: o.Source, docs: o.Documents, bounds: o.Settings.Bounds, history: o.Settings.Store.History, zone: o.Settings.Zone,
 		withdrawn: newWithdrawnZones(), rollOuts: make(map[string]rollOutObject), verdictFirstSeen: make(map[verdictKey]time.Time),
 		group: catalog.NewGroup(), relay: newRelayState(newRelayConfig(o, startedAt)),
 	}
@@ -97,7 +101,11 @@
 // NewWatchers returns a watcher for each kind.
 func (f *Follower) NewWatchers() []*catalog.Watcher {
 	shortPace := catalog.Pace{MaxWait: shareOf(shortMaxWaitShare, f.bounds.StabilityWindow), BatchDelay: shareOf(upstreamBatchDelayShare, f.bounds.DrainPeriod), MaxBackoff: maxBackoff}
-	longPace := catalog.Pace{MaxWait: longMaxWait, BatchDelay: shareOf(batchDelayShare, f.bounds.MaxConfigApplyTime), MaxBackoff: maxBackoff}
+	longWait := longMaxWait
+	if f.history > 0 {
+		longWait = min(longWait, time.Duration(maxHistoryShare*float64(f.history)))
+	}
+	longPace := catalog.Pace{MaxWait: longWait, BatchDelay: shareOf(batchDelayShare, f.bounds.MaxConfigApplyTime), MaxBackoff: maxBackoff}
 	newWatcher := func(kind catalog.Kind, pace catalog.Pace, h catalog.Handler) *catalog.Watcher {
 		return catalog.NewWatcher(f.group, f.source, kind, pace, h)
 	}
@@ -279,8 +287,8 @@
 
 // RunPeriodicTasks decides whether this VM reads the store, judges roll-outs and
 // removes expired upstreams, until ctx ends. The function liveInZone lists the
-// live VMs in this VM's zone.
-func (f *Follower) RunPeriodicTasks(ctx context.Context, liveInZone func() []string) {
+// live VMs in this VM's zone and counts the zones.
+func (f *Follower) RunPeriodicTasks(ctx context.Context, liveInZone func() ([]string, int)) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	var nextWrite time.Time
@@ -291,7 +299,8 @@
 		case <-tick.C:
 		}
 		now := time.Now()
-		f.updateReadDecision(now, liveInZone())
+		zone, zones := liveInZone()
+		f.updateReadDecision(now, zone, zones)
 		f.proxy.fleet.Expire(now)
 		f.expireWithdrawals(now)
 		if now.Before(nextWrite) {
--- a/internal/edge/peerstate.go
+++ b/internal/edge/peerstate.go
@@ -37,6 +37,9 @@
 	// sent only while the store does not respond to the requesting VM.
 	peerTimeout     = 600 * time.Millisecond
 	fullListTimeout = 2 * time.Second
+	// maxConcurrentStates limits the responses to peers that are encoded at the same
+	// time, each of which may take a megabyte of memory.
+	maxConcurrentStates = 2
 )
 
 // peerState is the response of a VM to a peer's state request.
@@ -54,7 +57,14 @@
 // stateHandler serves this VM's copy of the store to its peers.
 func (f *Follower) stateHandler() http.Handler {
 	r := chi.NewRouter()
+	slots := make(chan struct{}, maxConcurrentStates)
 	r.Get(statePath, func(w http.ResponseWriter, req *http.Request) {
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+		case <-req.Context().Done():
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(f.stateSince(req.URL.Query())); err != nil {
 			klog.InfoS("peers: state not sent", "err", logs.Err(err))
@@ -91,8 +101,9 @@
 }
 
 // fetchState requests from a peer the changes that this VM lacks. Full lists are
-// large, so they are requested only while the store is unavailable, or if the peer
-// has read the store in a later era, whose changes do not follow from this copy.
+// large, and traffic between zones is billed, so they are requested from another
+// zone only by a VM that starts, while the store is unavailable, or if the peer has
+// read the store in a later era, whose changes do not follow from this copy.
 func (f *Follower) fetchState(ctx context.Context, client *http.Client, peer newerPeer) (peerState, error) {
 	cache := f.group.Cache()
 	known := url.Values{configVersionParam: {strconv.FormatUint(f.proxy.configVersion(), 10)}}
@@ -100,7 +111,7 @@
 		known.Set(string(kind), strconv.FormatUint(cache.CompleteRevision(kind), 10))
 	}
 	timeout := peerTimeout
-	if f.group.StoreUnavailable() || peer.digest.Era > cache.Era() || !cache.IsOneEra() {
+	if peer.sameZone || f.group.StoreUnavailable() || !f.Ready() || peer.digest.Era > cache.Era() || !cache.IsOneEra() {
 		known.Set(fullListParam, "")
 		timeout = fullListTimeout
 	}
--- a/internal/edge/relaying.go
+++ b/internal/edge/relaying.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,7 +48,9 @@
 // configuration.
 type newerPeer struct {
 	address       string
+	sameZone      bool
 	digest        *relay.Digest
+	receivedAt    time.Time
 	configVersion uint64
 }
 
@@ -63,10 +66,13 @@
 	local := f.localCopy()
 	f.relay.mu.Lock()
 	behind := f.relay.core.Receive(now, m.Digest, local)
+	if m.StoreTroubleMS > 0 && m.From.Zone == f.zone {
+		f.relay.core.Trouble(now.Add(-time.Duration(m.StoreTroubleMS) * time.Millisecond))
+	}
 	f.relay.mu.Unlock()
 	f.group.PeerConfirmed(now.Add(-time.Duration(m.Digest.AgeMS) * time.Millisecond))
-	peer := newerPeer{address: m.From.Address, digest: m.Digest, configVersion: m.ConfigVersion}
-	if !behind && !f.isBehind(peer) || !f.currentReadDecision().FetchesFromPeer(m.From.Zone == f.zone) {
+	peer := newerPeer{address: m.From.Address, sameZone: m.From.Zone == f.zone, digest: m.Digest, receivedAt: now, configVersion: m.ConfigVersion}
+	if !behind && !f.isBehind(peer) || !f.currentReadDecision().FetchesFromPeer(peer.sameZone) {
 		return
 	}
 	select {
@@ -94,12 +100,23 @@
 	return f.relay.core.Digest(now, f.localCopy())
 }
 
+// storeTrouble returns the time since a VM of this zone last tried to read the store
+// without success, or false if none did lately.
+func (f *Follower) storeTrouble(now time.Time) (time.Duration, bool) {
+	f.relay.mu.Lock()
+	defer f.relay.mu.Unlock()
+	return f.relay.core.TroubleAge(now)
+}
+
 // updateReadDecision decides whether this VM reads the store, given the live VMs
-// of its zone.
-func (f *Follower) updateReadDecision(now time.Time, liveInZone []string) {
+// of its zone and the number of zones.
+func (f *Follower) updateReadDecision(now time.Time, liveInZone []string, zones int) {
 	f.relay.mu.Lock()
 	f.relay.core.Confirm(f.group.LastConfirmed())
-	d := f.relay.core.Decide(now, liveInZone)
+	if f.group.TriesInVain() {
+		f.relay.core.Trouble(now)
+	}
+	d := f.relay.core.Decide(now, relay.View{Zone: liveInZone, Zones: zones, Loaded: f.Ready()})
 	changed := d.Watches != f.relay.decision.Watches || f.relay.decision.Reason == ""
 	f.relay.decision = d
 	f.relay.mu.Unlock()
@@ -107,7 +124,7 @@
 		klog.InfoS("relay: decided whether this VM reads the store", "reads", d.Watches, "because", d.Reason, "rank", d.Rank, "zoneVMs", len(liveInZone), "proofAge", d.Staleness.Milliseconds())
 	}
 	f.group.SetMode(watchMode(d))
-	f.group.SetJitter(d.SharesReads)
+	f.group.SetProberWait(d.ConfirmInterval)
 }
 
 // watchMode returns the mode of the watchers under a decision.
@@ -171,12 +188,23 @@
 			// A response holds only the oldest missing changes, so fetch until
 			// up to date.
 		}
+		f.confirmBy(peer)
 		if f.isBehind(peer) && !ctxwait.For(ctx, nextPeerDelay) {
 			return
 		}
 	}
 }
 
+// confirmBy lets a peer's digest confirm this VM's copy, which may by now contain all
+// changes of the peer's. While changes keep coming, the next digest is most likely
+// newer again.
+func (f *Follower) confirmBy(peer newerPeer) {
+	local := f.localCopy()
+	f.relay.mu.Lock()
+	defer f.relay.mu.Unlock()
+	f.relay.core.Receive(peer.receivedAt, peer.digest, local)
+}
+
 // fetchFrom fetches a peer's state and reports whether it contained any full
 // list, object or deletion.
 func (f *Follower) fetchFrom(ctx context.Context, client *http.Client, peer newerPeer) bool {
@@ -196,5 +224,6 @@
 	return relay.Config{
 		VM: o.Settings.Name, PropagationLimit: max(min(b.MaxConfigApplyTime, b.DrainPeriod), minTimeLimit), StartedAt: startedAt,
 		Standalone: len(o.Settings.SeedAddresses) == 0,
+		Seed:       slices.Contains(o.Settings.SeedAddresses, o.Settings.PeerAddress),
 	}
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -46,6 +46,9 @@
 	Digest *relay.Digest `cbor:"7,keyasint,omitempty"`
 	// Departures are upstreams that recently announced that they are leaving.
 	Departures []fleet.Departure `cbor:"8,keyasint,omitempty"`
+	// StoreTroubleMS is the time in milliseconds, at least 1, since a VM of From's
+	// zone last tried to read the store without success; zero if none did lately.
+	StoreTroubleMS int64 `cbor:"9,keyasint,omitempty"`
 }
 
 const (
@@ -127,15 +130,21 @@
 }
 
 // LiveInZone returns the names of the live VMs in this VM's availability zone,
-// including this VM, in no particular order.
-func (c *Core) LiveInZone(now time.Time) []string {
-	out := []string{c.self.Name}
+// including this VM, in no particular order, and the number of zones that have live
+// VMs.
+func (c *Core) LiveInZone(now time.Time) (names []string, zones int) {
+	names = []string{c.self.Name}
+	seen := map[string]bool{c.self.Zone: true}
 	for name, p := range c.peers {
-		if p.Zone == c.self.Zone && now.Sub(p.lastSeen) < liveTimeout {
-			out = append(out, name)
+		if now.Sub(p.lastSeen) >= liveTimeout {
+			continue
+		}
+		seen[p.Zone] = true
+		if p.Zone == c.self.Zone {
+			names = append(names, name)
 		}
 	}
-	return out
+	return names, len(seen)
 }
 
 // HasNewPeers reports whether a previously unknown VM has sent a datagram since
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -136,6 +136,7 @@
 			Disconnects:     func(time.Time) []poison.Disconnect { return nil },
 			Departures:      func(time.Time) []fleet.Departure { return []fleet.Departure{{Upstream: "u2", Incarnation: 4}} },
 			Digest:          func(time.Time) *relay.Digest { return &relay.Digest{AgeMS: 3, Revisions: []uint64{1, 9}} },
+			StoreTrouble:    func(time.Time) (time.Duration, bool) { return 20 * time.Millisecond, true },
 			OnMessage:       func(_ time.Time, m Message) { received <- m },
 			OnMembership:    func(_ time.Time, l []string, _ map[string]bool) { known <- l },
 			IncarnationName: func(m Member) string { return m.Name },
@@ -153,6 +154,7 @@
 		loads[m.From.Name] = loads[m.From.Name] || (len(m.Loads) == 1 && m.ConfigVersion == 7)
 		rollOuts[m.From.Name] = rollOuts[m.From.Name] || len(m.RollOuts) == 1
 		assert.Equal(t, &relay.Digest{AgeMS: 3, Revisions: []uint64{1, 9}}, m.Digest)
+		assert.Equal(t, int64(20), m.StoreTroubleMS)
 		assert.Equal(t, []fleet.Departure{{Upstream: "u2", Incarnation: 4}}, m.Departures)
 		return loads["vm-0"] && loads["vm-1"] && rollOuts["vm-0"] && rollOuts["vm-1"]
 	}, 5*time.Second, time.Millisecond)
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -31,6 +31,9 @@
 	// busyInterval is the interval while this VM has requests in flight or a new VM
 	// waits for this VM's state.
 	busyInterval = 100 * time.Millisecond
+	// minGreetInterval is the minimum time after a round before a new VM receives this
+	// VM's state out of turn.
+	minGreetInterval = 20 * time.Millisecond
 	// maxLiveTargets limits the live VMs that receive a datagram in one round. New
 	// VMs and seeds are added to them.
 	maxLiveTargets = 12
@@ -57,6 +60,9 @@
 	// Digest returns the digest of this VM's copy of the store; nil before the copy
 	// was first confirmed.
 	Digest func(now time.Time) *relay.Digest
+	// StoreTrouble returns the time since a VM of this zone last tried to read the
+	// store without success, or false if none did lately.
+	StoreTrouble func(now time.Time) (time.Duration, bool)
 	// OnMessage is called with each message from another VM.
 	OnMessage func(now time.Time, m Message)
 	// OnMembership is called in each round with the known VMs and the names of the
@@ -73,6 +79,8 @@
 	self      Member
 	callbacks Callbacks
 	conn      *net.UDPConn
+	// wake is signaled when a new VM waits for this VM's state.
+	wake chan struct{}
 }
 
 // New returns a service that listens on the address of self.
@@ -85,7 +93,7 @@
 	if err != nil {
 		return nil, trace.Wrap(result.New(result.AddressInUse, "cannot listen on %s: %v", self.Address, err))
 	}
-	return &Service{core: NewCore(self, seeds), self: self, callbacks: callbacks, conn: conn}, nil
+	return &Service{core: NewCore(self, seeds), self: self, callbacks: callbacks, conn: conn, wake: make(chan struct{}, 1)}, nil
 }
 
 // Run sends and receives until ctx ends.
@@ -107,8 +115,8 @@
 }
 
 // LiveInZone returns the names of the live VMs in this VM's availability zone,
-// including this VM.
-func (s *Service) LiveInZone() []string {
+// including this VM, and the number of zones that have live VMs.
+func (s *Service) LiveInZone() (names []string, zones int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.core.LiveInZone(time.Now())
@@ -133,13 +141,21 @@
 		now := time.Now()
 		s.mu.Lock()
 		s.core.Receive(now, m)
+		hasNewPeers := s.core.HasNewPeers()
 		s.mu.Unlock()
+		if hasNewPeers {
+			select {
+			case s.wake <- struct{}{}:
+			default: // already signaled
+			}
+		}
 		s.callbacks.OnMessage(now, m)
 	}
 }
 
 // send sends datagrams until ctx ends: every busyInterval while requests are in
-// flight or a new VM waits for this VM's state, otherwise every heartbeatInterval.
+// flight, otherwise every heartbeatInterval, and soon when a new VM waits for this
+// VM's state.
 func (s *Service) send(ctx context.Context) {
 	tick := time.NewTicker(busyInterval)
 	defer tick.Stop()
@@ -152,6 +168,10 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+		case <-s.wake:
+			if time.Since(lastSent) < minGreetInterval {
+				continue // the next tick sends the state
+			}
 		}
 		now := time.Now()
 		loads := s.callbacks.Loads(maxLoads)
@@ -196,6 +216,9 @@
 		From: s.self, Loads: loads, ConfigVersion: s.callbacks.ConfigVersion(), Digest: s.callbacks.Digest(now),
 		Departures: s.callbacks.Departures(now),
 	}
+	if age, ok := s.callbacks.StoreTrouble(now); ok {
+		m.StoreTroubleMS = max(age.Milliseconds(), 1)
+	}
 	s.mu.Lock()
 	if withMembers {
 		m.Members = s.core.NextMembers(now)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,35 +3,53 @@
 // in a large fleet all VMs would read the same objects. The package does no I/O
 // and reads no clock.
 //
-// A few VMs of each availability zone, the readers, read the store. All VMs
-// send each other the latest revisions that they have cached and the time since
-// the store last confirmed that their copy was complete. A VM that is behind
-// fetches the missing changes from the sender. A VM whose last confirmation is
-// too old reads the store itself, whether the readers are stopped, partitioned,
-// frozen or rejected by the store.
+// A few VMs, the readers, read the store. All VMs send each other the latest
+// revisions that they have cached and the time since the store last confirmed that
+// their copy was complete. A VM that is behind fetches the missing changes from the
+// sender. When the confirmations stay away, because readers are stopped, frozen,
+// partitioned or rejected by the store, the next VMs of each zone read it
+// themselves: a few at first, and the more VMs the longer it lasts. While some of
+// them try without success, the store itself is probably unavailable, and most of
+// the others do not try.
 package relay
 
 import (
+	"math/bits"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// readersPerZone is the number of VMs in an availability zone that read the
-	// store. Two of them may fail at the same time.
-	readersPerZone = 3
+	// minReaders is the minimum number of readers in the fleet, and maxReadersPerZone
+	// the maximum in one zone. Each zone has a reader.
+	minReaders        = 5
+	maxReadersPerZone = 3
 	// minVMsToShare is the minimum number of VMs in a zone for sharing reads. In
 	// smaller zones all VMs read, because sharing would save few calls.
 	minVMsToShare = 6
-	// maxStalenessShare is the share of Config.PropagationLimit above which a VM's
-	// staleness makes it read the store itself. The rest of the limit is left for
-	// the call and for applying the change.
-	maxStalenessShare = 0.7
-	// maxStalenessReduction is the largest share by which a VM's staleness limit is
-	// lowered. The limit differs per VM, so that the first VMs that read confirm the
-	// copies of the others, which then need no read.
-	maxStalenessReduction = 0.2
+	// crossZoneFetchers is the number of VMs of a zone that fetch changes from other
+	// zones.
+	crossZoneFetchers = 3
+	// firstStandbys is the number of VMs of a zone that read the store when
+	// confirmations stay away, before any other VM. The next groups are larger, each
+	// twice as large as the one before.
+	firstStandbys = 3
+	standbyGroups = 4
+	// minStalenessShare and maxStalenessShare are the shares of
+	// Config.PropagationLimit after which the first and the last group read. The rest
+	// of the limit is left for the call and for applying the change.
+	minStalenessShare = 0.5
+	maxStalenessShare = 0.75
+	// confirmIntervalShare is the share of the first group's limit within which each
+	// reader asks the store again, so that one of them alone keeps the others fresh.
+	confirmIntervalShare = 0.75
+	// troubledStalenessShare and troubledSharePerRank replace them for all but the
+	// first group while other VMs of the zone try to read without success.
+	troubledStalenessShare = 1.2
+	troubledSharePerRank   = 0.1
+	// troubleTTL is how long a report of unsuccessful tries counts.
+	troubleTTL = 1500 * time.Millisecond
 	// directReadWindow is how long a VM continues to read the store after it was
 	// stale, because its zone's readers may still be failing.
 	directReadWindow = 5 * time.Second
@@ -39,6 +57,15 @@
 	// does not watch them. By the end of the period, gossip has discovered the
 	// zone's readers.
 	listOnlyPeriod = 800 * time.Millisecond
+	// minListDelay is how long a VM that has just started waits for the state of a
+	// peer before it lists the objects itself; maxExtraListDelay is the largest
+	// addition, which differs per VM. Seeds do not wait.
+	minListDelay      = 2 * time.Second
+	maxExtraListDelay = 2 * time.Second
+	// minCrossZoneDelay and maxExtraCrossZoneDelay are the same for fetching that
+	// state from another zone.
+	minCrossZoneDelay      = 300 * time.Millisecond
+	maxExtraCrossZoneDelay = 800 * time.Millisecond
 )
 
 // Digest describes a VM's cached copy of the store to other VMs.
@@ -84,9 +111,20 @@
 	PropagationLimit time.Duration
 	// StartedAt is the start time of the process.
 	StartedAt time.Time
-	// Standalone is true when no seed addresses are configured. The VM then does not
-	// wait for peers at its start.
+	// Standalone is true when no seed addresses are configured, and Seed when this VM
+	// is one of the seeds. The VM then does not wait for peers at its start.
 	Standalone bool
+	Seed       bool
+}
+
+// View is what the decision depends on besides the copy itself.
+type View struct {
+	// Zone lists the live VMs of this VM's availability zone, including this VM.
+	Zone []string
+	// Zones is the number of zones that have live VMs.
+	Zones int
+	// Loaded is true once this VM can serve callers from its copy.
+	Loaded bool
 }
 
 // Reason explains why a VM reads the store or does not.
@@ -95,6 +133,7 @@
 // Reasons of a decision.
 const (
 	Starting      Reason = "starting"
+	AsksPeers     Reason = "asks_peers"
 	FewVMs        Reason = "few_vms"
 	Reader        Reason = "reader"
 	Stale         Reason = "no_proof"
@@ -119,13 +158,19 @@
 	SharesReads bool
 	// Staleness is the time since the copy was last confirmed to be complete.
 	Staleness time.Duration
+	// ConfirmInterval limits the time between two calls of a reader for others; zero
+	// if the VMs of the zone do not share reads.
+	ConfirmInterval time.Duration
+	// fetchesAcrossZones is true when the VM fetches changes from other zones.
+	fetchesAcrossZones bool
 }
 
 // FetchesFromPeer reports whether the VM fetches missing changes from a peer. It
-// always fetches from peers in its zone. Traffic between zones is billed, so
-// only the zone's readers fetch from other zones. They need to, because the store
-// may deliver a change to them late or not at all.
-func (d Decision) FetchesFromPeer(sameZone bool) bool { return sameZone || d.Rank < readersPerZone }
+// always fetches from peers in its zone. Traffic between zones is billed, so only a
+// few VMs of a zone fetch from other zones, and VMs that start and get nothing from
+// their zone. The former need to, because the store may deliver a change to the
+// zone's readers late or not at all.
+func (d Decision) FetchesFromPeer(sameZone bool) bool { return sameZone || d.fetchesAcrossZones }
 
 // Core tracks how stale this VM's copy is and decides whether the VM reads the
 // store. It is not safe for concurrent use.
@@ -134,6 +179,9 @@
 	confirmedAt time.Time
 	// readUntil is the end of the directReadWindow.
 	readUntil time.Time
+	// troubleAt is when a VM of the zone last tried to read the store without
+	// success, as far as this VM knows.
+	troubleAt time.Time
 }
 
 // New returns a core whose copy is not confirmed yet.
@@ -170,28 +218,64 @@
 	return &Digest{AgeMS: now.Sub(c.confirmedAt).Milliseconds(), Revisions: local.Revisions, Era: local.Era}
 }
 
-// Decide returns the decision. The zone lists the live VMs of this VM's zone,
-// including this VM.
-func (c *Core) Decide(now time.Time, zone []string) Decision {
-	d := Decision{Lists: true, Watches: true, SharesReads: len(zone) >= minVMsToShare, Rank: rank(c.cfg.VM, zone), Staleness: c.staleness(now)}
+// Trouble records that a VM of this zone, possibly this one, tried to read the store
+// without success at the given time.
+func (c *Core) Trouble(at time.Time) {
+	if at.After(c.troubleAt) {
+		c.troubleAt = at
+	}
+}
+
+// TroubleAge returns the time since the last unsuccessful try that this VM knows of,
+// to be sent to peers, or false if there was none lately.
+func (c *Core) TroubleAge(now time.Time) (time.Duration, bool) {
+	age := now.Sub(c.troubleAt)
+	return age, age < troubleTTL
+}
+
+// Decide returns the decision.
+func (c *Core) Decide(now time.Time, v View) Decision {
+	d := Decision{
+		Lists: true, Watches: true, SharesReads: len(v.Zone) >= minVMsToShare, Rank: rank(c.cfg.VM, v.Zone),
+		Staleness: c.staleness(now),
+	}
+	d.fetchesAcrossZones = d.Rank < crossZoneFetchers || !v.Loaded && c.hasWaited(now, minCrossZoneDelay, maxExtraCrossZoneDelay)
+	readers := readersPerZone(v.Zones)
+	if d.SharesReads {
+		d.ConfirmInterval = time.Duration(confirmIntervalShare * minStalenessShare * float64(c.cfg.PropagationLimit))
+	}
 	switch {
+	case !v.Loaded && !c.cfg.Standalone && !c.cfg.Seed && !c.hasWaited(now, minListDelay, maxExtraListDelay):
+		d.Lists, d.Watches, d.Reason = false, false, AsksPeers
 	case !c.cfg.Standalone && now.Sub(c.cfg.StartedAt) < listOnlyPeriod:
 		d.Watches, d.Reason = false, Starting
 	case !d.SharesReads:
 		d.Reason = FewVMs
-	case d.Rank < readersPerZone:
+	case d.Rank < readers:
 		d.Reason = Reader
-	case d.Staleness > c.maxStaleness():
+	case d.Staleness > c.maxStaleness(now, d.Rank-readers):
 		c.readUntil = now.Add(directReadWindow)
 		d.Reason = Stale
 	case now.Before(c.readUntil):
 		d.Reason = RecentlyStale
 	default:
-		d.Lists, d.Watches, d.Reason = false, false, Relayed
+		d.Lists, d.Watches, d.Reason = !v.Loaded, false, Relayed
 	}
 	return d
 }
 
+// readersPerZone returns the number of readers of each zone.
+func readersPerZone(zones int) int {
+	zones = max(zones, 1)
+	return min(max((minReaders+zones-1)/zones, 1), maxReadersPerZone)
+}
+
+// hasWaited reports whether the time since the start exceeds a delay that differs
+// per VM.
+func (c *Core) hasWaited(now time.Time, minimum, maxExtra time.Duration) bool {
+	return now.Sub(c.cfg.StartedAt) >= minimum+time.Duration(c.jitter()*float64(maxExtra))
+}
+
 // staleness returns the time since the last confirmation, or since the start of
 // the process if there is none.
 func (c *Core) staleness(now time.Time) time.Duration {
@@ -202,9 +286,14 @@
 }
 
 // maxStaleness returns the staleness above which this VM reads the store itself.
-func (c *Core) maxStaleness() time.Duration {
-	limit := maxStalenessShare * float64(c.cfg.PropagationLimit)
-	return time.Duration(limit * (1 - maxStalenessReduction*c.jitter()))
+// standby is its position among the VMs of the zone that are not readers.
+func (c *Core) maxStaleness(now time.Time, standby int) time.Duration {
+	group := min(bits.Len(uint(standby/firstStandbys+1))-1, standbyGroups)
+	share := minStalenessShare + (maxStalenessShare-minStalenessShare)*float64(group)/standbyGroups
+	if _, troubled := c.TroubleAge(now); troubled && group > 0 {
+		share = troubledStalenessShare + troubledSharePerRank*float64(standby)
+	}
+	return time.Duration(share * float64(c.cfg.PropagationLimit))
 }
 
 // jitter returns a number in [0, 1) that is constant for this VM.
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -36,6 +36,9 @@
 // Store locates the platform's object store.
 type Store struct {
 	Address string
+	// History is how long the store keeps its history of changes, at most; zero if
+	// unknown.
+	History time.Duration
 }
 
 // Bounds are the limits of the guarantees that the operators check.
