--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -22,6 +22,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
 	"github.com/cranberrypier/cranberrypier/internal/gossip"
 	"github.com/cranberrypier/cranberrypier/internal/logs"
+	"github.com/cranberrypier/cranberrypier/internal/modelchoice"
 	"github.com/cranberrypier/cranberrypier/internal/poison"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/cranberrypier/cranberrypier/internal/retrybudget"
@@ -93,6 +94,7 @@
 		budget: retrybudget.New(retrybudget.Config{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: max(b.RetryWindow, time.Second)}),
 		canary: canary.New(incarnationName(self), b.ExposureShare, b.SessionTTL),
 		poison: poison.New(),
+		gains:  modelchoice.NewGains(),
 	}
 	follower := NewFollower(s, o, time.Now())
 	o.Metrics.registerGauges(s, follower)
--- a/internal/edge/models.go
+++ b/internal/edge/models.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -13,54 +14,99 @@
 type modelPlan struct {
 	// model is the model of the next attempt.
 	model string
-	// largest is the model that the request may escalate to; empty for none.
-	largest string
+	// larger are the models that the request may escalate to, smallest first; empty
+	// for none.
+	larger []string
+	// dropped is the model whose answer was dropped last, and its confidence.
+	dropped           string
+	droppedConfidence int
 }
 
 // planModels selects the models for a request. It starts with the smallest one,
-// because the confidence of its response shows whether the largest one is
-// needed. A route's models are ordered from the smallest to the largest.
+// because the confidence of its response shows whether a larger one is needed. A
+// route's models are ordered from the smallest to the largest.
 func (s *Proxy) planModels(r *exchange.Request) *modelPlan {
 	models := r.Route.Models
 	if !r.AnyModel || len(models) == 0 {
 		return &modelPlan{model: r.Model}
 	}
 	p := &modelPlan{model: models[0]}
-	if len(models) > 1 && r.Route.MaxRuns > 1 {
-		p.largest = models[len(models)-1]
+	if r.Route.MaxRuns > 1 {
+		p.larger = models[1:]
 	}
 	return p
 }
 
-// tryEscalate switches the plan to the largest model if modelchoice.Escalate
-// prefers it and the retry budget allows another run. It reports whether it did;
-// the current response must then be dropped. No part of that response may have
-// been sent to the caller yet.
+// isLargest reports whether a model is the largest of the request's route.
+func isLargest(r *exchange.Request, model string) bool {
+	models := r.Route.Models
+	return len(models) > 0 && models[len(models)-1] == model
+}
+
+// tryEscalate switches the plan to a larger model if modelchoice.Escalate prefers it
+// and the retry budget allows another run. It reports whether it did; the current
+// response must then be dropped. No part of that response may have been sent to the
+// caller yet.
 func (p *modelPlan) tryEscalate(x *requestState, a *attempt) bool {
 	const currentRun = 1 // the run whose response would be dropped
-	if p.largest == "" || x.runs+currentRun >= x.req.Route.MaxRuns {
+	p.observe(x, a)
+	if len(p.larger) == 0 || x.runs+currentRun >= x.req.Route.MaxRuns {
 		return false
 	}
 	now := time.Now()
-	left := x.req.ReceivedAt.Add(x.req.Route.TargetLatency).Sub(now)
-	estimate, ok := x.proxy.fleet.Estimate(now, x.query(p.largest))
+	current := modelchoice.Answer{Confidence: a.head.Confidence, TimeLeft: x.timeToTarget(now)}
+	options, names := p.options(now, x, a)
+	best, ok := modelchoice.Escalate(current, options)
 	if !ok {
 		return false
 	}
-	current := modelchoice.Answer{Confidence: a.head.Confidence, TimeLeft: left}
-	larger := modelchoice.LargerModel{
-		Price: x.req.Service.Prices[p.largest], FirstToken: estimate.FirstByte, PrefillBacklog: estimate.PrefillBacklog,
-		TimeLeft: left, TargetLatency: x.req.Route.TargetLatency,
-	}
-	if !modelchoice.Escalate(current, larger) {
-		return false
-	}
 	if !x.proxy.budget.TryRetry(now, x.req.Service.Name) {
 		klog.InfoS("model: kept, because the retry budget is exhausted", "request", x.req.ID, "because", "over_budget", "confidence", a.head.Confidence)
 		return false
 	}
-	klog.InfoS("model: switched to the larger model", "request", x.req.ID, "from", p.model, "to", p.largest, "confidence", a.head.Confidence,
-		"keep", current.Value(), "ask", larger.Value(), "expect", estimate.FirstByte.Milliseconds(), "backlog", estimate.PrefillBacklog.Milliseconds(), "left", left.Milliseconds())
-	p.model, p.largest = p.largest, ""
+	chosen := options[best]
+	klog.InfoS("model: switched to the larger model", "request", x.req.ID, "from", p.model, "to", names[best], "confidence", a.head.Confidence,
+		"keep", current.Value(), "ask", chosen.Value(), "expect", chosen.FirstToken.Milliseconds(), "expectConfidence", chosen.ExpectedConfidence,
+		"backlog", chosen.PrefillBacklog.Milliseconds(), "left", current.TimeLeft.Milliseconds())
+	p.dropped, p.droppedConfidence = p.model, a.head.Confidence
+	p.model = names[best]
+	p.larger = p.larger[slices.Index(p.larger, p.model)+1:]
 	return true
 }
+
+// observe learns from the response to a request whose smaller model's answer was
+// dropped.
+func (p *modelPlan) observe(x *requestState, a *attempt) {
+	if p.dropped == "" {
+		return
+	}
+	x.proxy.mu.Lock()
+	x.proxy.gains.Observe(p.dropped, p.model, isLargest(x.req, p.model), p.droppedConfidence, a.head.Confidence)
+	x.proxy.mu.Unlock()
+	p.dropped = ""
+}
+
+// options returns the larger models that have an eligible upstream, and their names.
+func (p *modelPlan) options(now time.Time, x *requestState, a *attempt) (options []modelchoice.LargerModel, names []string) {
+	left := x.timeToTarget(now)
+	for _, name := range p.larger {
+		estimate, ok := x.proxy.fleet.Estimate(now, x.query(name))
+		if !ok {
+			continue
+		}
+		x.proxy.mu.Lock()
+		confidence := x.proxy.gains.Expect(p.model, name, isLargest(x.req, name), a.head.Confidence)
+		x.proxy.mu.Unlock()
+		names = append(names, name)
+		options = append(options, modelchoice.LargerModel{
+			ExpectedConfidence: confidence, Price: x.req.Service.Prices[name], FirstToken: estimate.FirstByte,
+			PrefillBacklog: estimate.PrefillBacklog, TimeLeft: left, TargetLatency: x.req.Route.TargetLatency,
+		})
+	}
+	return options, names
+}
+
+// timeToTarget returns the time until the route's target latency.
+func (x *requestState) timeToTarget(now time.Time) time.Duration {
+	return x.req.ReceivedAt.Add(x.req.Route.TargetLatency).Sub(now)
+}
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -15,6 +15,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/canary"
 	"github.com/cranberrypier/cranberrypier/internal/exchange"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
+	"github.com/cranberrypier/cranberrypier/internal/modelchoice"
 	"github.com/cranberrypier/cranberrypier/internal/poison"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/cranberrypier/cranberrypier/internal/retrybudget"
@@ -41,9 +42,10 @@
 	stopping  atomic.Bool
 	isolation isolation
 
-	mu     sync.Mutex // guards canary and poison
+	mu     sync.Mutex // guards canary, poison and gains
 	canary *canary.Core
 	poison *poison.Core
+	gains  *modelchoice.Gains
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -29,12 +29,30 @@
 	return now.Before(m.ColdUntil.Add(coldStartMargin)) || now.Before(m.firstSeen.Add(coldStartMargin)) || now.Before(m.backoffUntil.Add(coldStartMargin))
 }
 
+// coldShare is this VM's share of the limit of one cold upstream. It changes only
+// with the VMs and the rate.
+type coldShare struct {
+	known      bool
+	generation int // of Fleet.vms
+	rate       float64
+	limit      int
+}
+
 // coldLimit returns the number of requests per second that this VM may send to a
-// cold upstream. The fleet-wide limit is divided in advance: each VM gets the
-// same whole number. If there are more VMs than allowed requests per second, only
-// as many VMs as requests, selected by a hash, may send one request per second.
+// cold upstream.
 func (f *Fleet) coldLimit(m *member) int {
 	rate := f.coldRates[m.Service]
+	if s := m.coldShare; s.known && s.generation == f.vmsGeneration && s.rate == rate {
+		return s.limit
+	}
+	m.coldShare = coldShare{known: true, generation: f.vmsGeneration, rate: rate, limit: f.computeColdLimit(m, rate)}
+	return m.coldShare.limit
+}
+
+// computeColdLimit divides the fleet-wide limit in advance: each VM gets the same
+// whole number. If there are more VMs than allowed requests per second, only as many
+// VMs as requests, selected by a hash, may send one request per second.
+func (f *Fleet) computeColdLimit(m *member, rate float64) int {
 	bound := (rate*f.cfg.ColdFactor + f.cfg.ColdSlack) * coldLimitShare
 	vms := max(len(f.vms), minAssumedVMs)
 	if share := int(bound) / vms; share > 0 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,9 +9,13 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Upstream is one start of an upstream process, as the platform lists it.
@@ -56,16 +60,22 @@
 type Fleet struct {
 	cfg Config
 
-	mu                           sync.Mutex
-	members                      map[string]*member
-	byService                    map[string][]*member
-	withdrawn                    map[string]bool
-	zoneHealth                   map[string]*zoneHealth
-	vms                          []string
-	membersByVM                  map[string][]*member // by VM: the members for which it has reported load
-	reachableBuf, unreachableBuf []*member            // buffers reused by eligible
-	coldRates                    map[string]float64
-	msPerToken                   map[string]float64 // prefill time per uncached prompt token in ms, by model
+	mu         sync.Mutex
+	members    map[string]*member
+	pools      map[string]*servicePool // by service
+	withdrawn  map[string]bool
+	zoneHealth map[string]*zoneHealth
+	vms        []string
+	// vmsGeneration counts the changes of vms.
+	vmsGeneration int
+	vmReports     map[string]*vmReport // by VM
+	// nextReportExpiry is when a report may be too old next; zero if there is none.
+	nextReportExpiry time.Time
+	// drawnBuf, reachableBuf and unreachableBuf are buffers reused by choose.
+	drawnBuf, reachableBuf, unreachableBuf []*member
+	rng                                    *rand.Rand
+	coldRates                              map[string]float64
+	msPerToken                             map[string]float64 // prefill time per uncached prompt token in ms, by model
 	// graceUntil is the end of the period in which removals are delayed.
 	graceUntil time.Time
 	departures departures
@@ -74,8 +84,9 @@
 // New returns an empty fleet.
 func New(cfg Config) *Fleet {
 	return &Fleet{
-		cfg: cfg, members: make(map[string]*member), byService: make(map[string][]*member),
-		withdrawn: make(map[string]bool), zoneHealth: make(map[string]*zoneHealth), membersByVM: make(map[string][]*member), coldRates: make(map[string]float64), msPerToken: make(map[string]float64),
+		cfg: cfg, members: make(map[string]*member), pools: make(map[string]*servicePool),
+		rng:       rand.New(rand.NewPCG(xxhash.Sum64String(cfg.VM), 0)), //nolint:gosec // draws upstreams
+		withdrawn: make(map[string]bool), zoneHealth: make(map[string]*zoneHealth), vmReports: make(map[string]*vmReport), coldRates: make(map[string]float64), msPerToken: make(map[string]float64),
 		departures: newDepartures(),
 	}
 }
@@ -92,7 +103,10 @@
 func (f *Fleet) SetVMs(names []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.vms = slices.Clone(names)
+	if !slices.Equal(f.vms, names) {
+		f.vms = slices.Clone(names)
+		f.vmsGeneration++
+	}
 }
 
 // SetWithdrawn sets the availability zones that operators have withdrawn.
@@ -217,18 +231,26 @@
 
 // rebuildIndex rebuilds the lists by service, sorted by ID.
 func (f *Fleet) rebuildIndex() {
-	clear(f.byService)
+	clear(f.pools)
 	for _, m := range f.members {
-		f.byService[m.Service] = append(f.byService[m.Service], m)
+		p := f.pools[m.Service]
+		if p == nil {
+			p = newPool()
+			f.pools[m.Service] = p
+		}
+		p.members = append(p.members, m)
 	}
-	for _, list := range f.byService {
-		slices.SortFunc(list, func(a, b *member) int {
-			if a.ID < b.ID {
-				return -1
-			}
-			return 1
-		})
+	for _, p := range f.pools {
+		slices.SortFunc(p.members, func(a, b *member) int { return strings.Compare(a.ID, b.ID) })
+	}
+}
+
+// membersOf returns the members of a service, sorted by ID.
+func (f *Fleet) membersOf(service string) []*member {
+	if p := f.pools[service]; p != nil {
+		return p.members
 	}
+	return nil
 }
 
 // VMCount returns the number of entry VMs in the last call of SetVMs, or zero
@@ -273,7 +295,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []string
-	for _, m := range f.byService[service] {
+	for _, m := range f.membersOf(service) {
 		if !m.Leaving && !slices.Contains(out, m.Version) {
 			out = append(out, m.Version)
 		}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -54,7 +54,10 @@
 	load              exchange.Load
 	ownInflightAtLoad int
 	loadAt            time.Time
-	remoteLoads       map[string]remoteLoad // by VM
+	// remoteInflight and remotePrefillMs are the sums of the loads that other VMs
+	// have reported; see vmReport.
+	remoteInflight  int
+	remotePrefillMs float64
 
 	failureRate   float64
 	failureRateAt time.Time
@@ -70,6 +73,7 @@
 	slowdown  float64 // factor by which first tokens arrive later than their prefill time predicts
 
 	sentAt        []time.Time // this VM's requests in the cold window
+	coldShare     coldShare
 	cachedPrompts *lru.Cache[uint64, time.Time]
 }
 
@@ -107,27 +111,6 @@
 	m.load, m.loadAt, m.ownInflightAtLoad = l, now, m.inflight
 }
 
-// remoteLoad is the load of another VM's requests at an upstream.
-type remoteLoad struct {
-	inflight   int
-	prefillMs  float64
-	receivedAt time.Time
-}
-
-// vmLoadTTL is how long another VM's report of its own requests is used.
-const vmLoadTTL = 1500 * time.Millisecond
-
-// sumRemoteLoads sums the load that other VMs have reported for this upstream.
-func (m *member) sumRemoteLoads(now time.Time) (inflight, prefillMs float64) {
-	for _, r := range m.remoteLoads {
-		if now.Sub(r.receivedAt) < vmLoadTTL {
-			inflight += float64(r.inflight)
-			prefillMs += r.prefillMs
-		}
-	}
-	return inflight, prefillMs
-}
-
 // otherVMsInflight estimates the other VMs' requests at this upstream from its
 // latest report of its own load, with a weight that falls with the report's age.
 func (m *member) otherVMsInflight(now time.Time) float64 {
--- a/internal/fleet/pause.go
+++ b/internal/fleet/pause.go
@@ -22,7 +22,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	shortest := time.Duration(-1)
-	for _, m := range f.byService[service] {
+	for _, m := range f.membersOf(service) {
 		if !f.usable(m) {
 			continue
 		}
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"encoding/binary"
 	"slices"
 	"time"
 
@@ -128,17 +127,18 @@
 }
 
 func (f *Fleet) choose(now time.Time, q Query) (choice, Reason) {
-	list := f.byService[q.Service]
-	if len(list) == 0 {
+	p := f.pools[q.Service]
+	if p == nil {
 		return choice{}, NoneListed
 	}
-	eligible, reason := f.eligible(now, q, list)
+	f.expireVMReports(now)
+	eligible, reason := f.candidates(now, q, p)
 	if len(eligible) == 0 {
 		return choice{}, reason
 	}
 	key, msPerToken := q.promptKey(), f.msPerTokenOf(q.Model)
-	preferred, second := preferredUpstreams(eligible, key)
-	preferredShare, secondShare := uncachedShares(len(eligible))
+	preferred, second := p.preferred(key, eligible)
+	preferredShare, secondShare := uncachedShares(len(p.members))
 	best := choice{eligible: len(eligible)}
 	for _, m := range eligible {
 		uncachedShare := 1.0
@@ -158,6 +158,21 @@
 	return best, Picked
 }
 
+// candidates returns the upstreams of a pool among which one is chosen. In a large
+// pool these are the available ones of a draw, or of all if the draw has none.
+func (f *Fleet) candidates(now time.Time, q Query, p *servicePool) ([]*member, Reason) {
+	if len(p.members) > maxFullChoice {
+		f.drawnBuf = p.draw(f.rng, q.promptKey(), f.drawnBuf[:0])
+		drawn := slices.DeleteFunc(f.drawnBuf, func(m *member) bool {
+			return !f.isAllowed(q, m) || f.availabilityOf(now, m) != available
+		})
+		if len(drawn) > 0 {
+			return drawn, Picked
+		}
+	}
+	return f.eligible(now, q, p.members)
+}
+
 // availability is whether an upstream that is allowed may receive a request now.
 type availability int
 
@@ -243,29 +258,6 @@
 	return true
 }
 
-// preferredUpstreams returns the two upstreams that rendezvous hashing selects for
-// a prompt. All VMs select the same ones without exchanging messages, so the
-// shared parts of the prompt are prefilled only once.
-func preferredUpstreams(list []*member, key uint64) (preferred, second *member) {
-	if key == 0 {
-		return nil, nil
-	}
-	var bestHash, secondHash uint64
-	var buf [16]byte
-	binary.LittleEndian.PutUint64(buf[:8], key)
-	for _, m := range list {
-		binary.LittleEndian.PutUint64(buf[8:], m.hash)
-		switch h := xxhash.Sum64(buf[:]); {
-		case preferred == nil || h > bestHash:
-			second, secondHash = preferred, bestHash
-			preferred, bestHash = m, h
-		case second == nil || h > secondHash:
-			second, secondHash = m, h
-		}
-	}
-	return preferred, second
-}
-
 // prompt holds a prompt's inputs for the cost of a candidate.
 type prompt struct {
 	// key identifies the shared parts for the model; zero if there are none.
@@ -282,11 +274,10 @@
 		Slots: m.Slots, LatencyMs: m.latencyMs, Slowdown: m.slowdown, FailureRate: m.currentFailureRate(now),
 		SameZone: m.Zone == f.cfg.Zone, ModelEngine: q.ModelEngine, MsPerToken: p.msPerToken,
 	}
-	remoteInflight, remotePrefillMs := m.sumRemoteLoads(now)
 	// There are two estimates of the other VMs' requests: the upstream's report and
 	// the VMs' reports. The larger one counts.
-	c.InFlight = float64(m.inflight) + max(m.otherVMsInflight(now), remoteInflight)
-	c.PrefillBacklogMs = m.prefillMs + remotePrefillMs
+	c.InFlight = float64(m.inflight) + max(m.otherVMsInflight(now), float64(m.remoteInflight))
+	c.PrefillBacklogMs = m.prefillMs + m.remotePrefillMs
 	c.UncachedTokens = q.OwnTokens + int(p.uncachedShare*float64(q.SharedTokens))
 	if p.key != 0 && m.hasCachedPrompt(now, p.key) {
 		c.UncachedTokens = q.OwnTokens
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -56,6 +56,8 @@
 	liveTimeout = 8 * time.Second
 	// forgetTimeout is how long after its last datagram a VM is removed.
 	forgetTimeout = 30 * time.Second
+	// maxCrossZoneTargets limits the targets in other zones in one round.
+	maxCrossZoneTargets = 3
 	// maxMembers limits the members in one datagram.
 	maxMembers = 18
 )
@@ -71,9 +73,9 @@
 	self  Member
 	peers map[string]peer
 	seeds []string
-	// targetCursor and memberCursor are the round-robin positions in the lists of
-	// targets and members.
-	targetCursor, memberCursor int
+	// targetCursor, crossZoneCursor and memberCursor are the round-robin positions in
+	// the lists of targets in this zone and in others, and of members.
+	targetCursor, crossZoneCursor, memberCursor int
 	// newAddresses are the addresses of previously unknown VMs that have sent a
 	// datagram since the last round.
 	newAddresses []string
@@ -84,7 +86,7 @@
 	// VMs start the round-robin at different positions. Otherwise all of them would
 	// send to the same targets.
 	start := int(xxhash.Sum64String(self.Name) % 1024)
-	return &Core{self: self, peers: make(map[string]peer), seeds: seeds, targetCursor: start, memberCursor: start}
+	return &Core{self: self, peers: make(map[string]peer), seeds: seeds, targetCursor: start, crossZoneCursor: start, memberCursor: start}
 }
 
 // SetSeeds replaces the seeds.
@@ -176,23 +178,32 @@
 	return out
 }
 
-// NextTargets returns the addresses for the next datagrams: the next n live VMs of
-// any zone in round-robin order, the new VMs, and the seeds that are not known
-// to be live. It also removes VMs after forgetTimeout.
+// NextTargets returns the addresses for the next datagrams: the next n live VMs in
+// round-robin order, the new VMs, and the seeds that are not known to be live. Of the
+// live VMs, at most maxCrossZoneTargets are in other zones unless this zone has too
+// few, because traffic between zones is billed. It also removes VMs after
+// forgetTimeout.
 func (c *Core) NextTargets(now time.Time, n int) []string {
-	var live []string
+	var sameZone, otherZones []string
 	liveAddresses := map[string]bool{c.self.Address: true}
 	for name, p := range c.peers {
 		switch age := now.Sub(p.lastSeen); {
 		case age < liveTimeout:
-			live = append(live, p.Address)
 			liveAddresses[p.Address] = true
+			if p.Zone == c.self.Zone {
+				sameZone = append(sameZone, p.Address)
+			} else {
+				otherZones = append(otherZones, p.Address)
+			}
 		case age > forgetTimeout:
 			delete(c.peers, name)
 		}
 	}
-	slices.Sort(live)
-	out := rotate(&c.targetCursor, live, n)
+	slices.Sort(sameZone)
+	slices.Sort(otherZones)
+	others := min(len(otherZones), max(maxCrossZoneTargets, n-len(sameZone)))
+	out := rotate(&c.targetCursor, sameZone, n-others)
+	out = append(out, rotate(&c.crossZoneCursor, otherZones, others)...)
 	for _, address := range c.newAddresses {
 		if !slices.Contains(out, address) {
 			out = append(out, address)
--- a/internal/modelchoice/modelchoice.go
+++ b/internal/modelchoice/modelchoice.go
@@ -1,6 +1,11 @@
 // Package modelchoice decides which model answers a request, and whether to drop
 // the answer of a small model in favor of a larger model's. It is pure. All values
 // are shares of the request's value.
+//
+// How much better a larger model would answer is learned from the requests that were
+// asked again: a model's confidence in its own answer tells how hard the request is
+// for it, and the difference of two models' confidences how much more the larger one
+// is capable of; see Gains.
 package modelchoice
 
 import (
@@ -79,6 +84,8 @@
 
 // LargerModel is a larger model that could answer instead.
 type LargerModel struct {
+	// ExpectedConfidence is the expected confidence of its answer.
+	ExpectedConfidence int
 	// Price is the price of 1,000 generated tokens.
 	Price float64
 	// FirstToken is the estimated time to the first token.
@@ -94,14 +101,26 @@
 // uses is not available to other requests, so the value falls with the load: in
 // bursts of long prompts more answers of small models are kept.
 func (m LargerModel) Value() float64 {
+	goodProbability := GoodProbability(m.ExpectedConfidence)
+	goodValue := goodProbability + (1-goodProbability)*poorValue
 	onTimeProbability := OnTimeProbability(m.FirstToken, m.TimeLeft)
 	loadShare := min(idleLoadShare+float64(m.PrefillBacklog)/float64(loadShareBacklog), 1)
 	loadCost := loadWeight * loadShare * min(float64(m.FirstToken)/float64(max(m.TargetLatency, time.Millisecond)), 1)
-	return onTimeProbability + (1-onTimeProbability)*lateValue - priceWeight*m.Price - loadCost
+	return goodValue*(onTimeProbability+(1-onTimeProbability)*lateValue) - priceWeight*m.Price - loadCost
 }
 
-// Escalate reports whether asking the larger model has the higher value. An answer
-// without a confidence is always kept.
-func Escalate(a Answer, larger LargerModel) bool {
-	return a.Confidence >= 0 && larger.Value() > a.Value()
+// Escalate returns the index of the larger model that has the highest value, or false
+// if keeping the answer has a higher one. An answer without a confidence is always
+// kept.
+func Escalate(a Answer, larger []LargerModel) (best int, ok bool) {
+	if a.Confidence < 0 {
+		return 0, false
+	}
+	value := a.Value()
+	for i, m := range larger {
+		if v := m.Value(); v > value {
+			best, value, ok = i, v, true
+		}
+	}
+	return best, ok
 }
--- a/internal/modelchoice/modelchoice_test.go
+++ b/internal/modelchoice/modelchoice_test.go
@@ -11,7 +11,7 @@
 const targetLatency = 2 * time.Second
 
 func largerModel(firstToken time.Duration) LargerModel {
-	return LargerModel{Price: 0.12, FirstToken: firstToken, PrefillBacklog: firstToken / 4, TimeLeft: targetLatency - 200*time.Millisecond, TargetLatency: targetLatency}
+	return LargerModel{ExpectedConfidence: 95, Price: 0.12, FirstToken: firstToken, PrefillBacklog: firstToken / 4, TimeLeft: targetLatency - 200*time.Millisecond, TargetLatency: targetLatency}
 }
 
 func TestEscalate(t *testing.T) {
@@ -29,7 +29,7 @@
 		{"no confidence", -1, 200 * time.Millisecond, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			got := Escalate(Answer{Confidence: tt.confidence, TimeLeft: targetLatency - 200*time.Millisecond}, largerModel(tt.firstToken))
+			_, got := Escalate(Answer{Confidence: tt.confidence, TimeLeft: targetLatency - 200*time.Millisecond}, []LargerModel{largerModel(tt.firstToken)})
 			assert.Equal(t, tt.want, got)
 		})
 	}
@@ -41,7 +41,11 @@
 	previous := 101
 	for _, delay := range []time.Duration{0, 200, 400, 800, 1200, 1600} {
 		threshold := 0 // the lowest confidence that is kept
-		for threshold <= 100 && Escalate(Answer{Confidence: threshold, TimeLeft: targetLatency}, largerModel(100*time.Millisecond+delay*time.Millisecond)) {
+		larger := []LargerModel{largerModel(100*time.Millisecond + delay*time.Millisecond)}
+		for threshold <= 100 {
+			if _, ok := Escalate(Answer{Confidence: threshold, TimeLeft: targetLatency}, larger); !ok {
+				break
+			}
 			threshold++
 		}
 		assert.LessOrEqual(t, threshold, previous, "with %d ms more delay", delay)
@@ -62,3 +66,42 @@
 		}
 	})
 }
+
+// A model of middle size is worth asking when it is expected to suffice, and the
+// largest when it is not.
+func TestEscalateToTheModelThatSuffices(t *testing.T) {
+	gains := NewGains()
+	for _, tt := range []struct {
+		confidence int
+		want       string
+	}{{5, "large"}, {25, "large"}, {48, "middle"}, {95, ""}} {
+		var options []LargerModel
+		names := []string{"middle", "large"}
+		for i, name := range names {
+			options = append(options, LargerModel{
+				ExpectedConfidence: gains.Expect("small", name, name == "large", tt.confidence),
+				Price:              []float64{0.13, 0.26}[i], FirstToken: 200 * time.Millisecond, TimeLeft: targetLatency, TargetLatency: targetLatency,
+			})
+		}
+		got := ""
+		if best, ok := Escalate(Answer{Confidence: tt.confidence, TimeLeft: targetLatency}, options); ok {
+			got = names[best]
+		}
+		assert.Equal(t, tt.want, got, "confidence %d", tt.confidence)
+	}
+}
+
+// The gain of a model is learned, whatever was assumed of it.
+func TestGainsAreLearned(t *testing.T) {
+	g := NewGains()
+	for range 100 {
+		g.Observe("small", "middle", false, 30, 85)
+		g.Observe("small", "large", true, 30, 100)
+		g.Observe("small", "large", true, 4, 20)
+		g.Observe("small", "large", true, -1, 20)
+	}
+	assert.InDelta(t, 85, g.Expect("small", "middle", false, 30), 2)
+	assert.Equal(t, 100, g.Expect("small", "large", true, 30), "a confidence at its maximum does not lower the gain")
+	assert.InDelta(t, 20, g.Expect("small", "large", true, 4), 2)
+	assert.Equal(t, 100, g.Expect("small", "large", true, 90))
+}
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -68,6 +68,7 @@
 	doc      *document.Document
 	revision uint64
 	changed  chan struct{}
+	waiting  int // watches that wait for the next change
 }
 
 // newTestFleet starts n routers, two engines, two replicas of a plain service and
@@ -99,6 +100,9 @@
 	for i := range f.routers {
 		require.Eventually(t, func() bool { return f.routers[i].Control.Index() != nil }, waitTimeout, time.Millisecond)
 	}
+	// Each router must know the others, too: a router that has applied the last view
+	// waits for the next one.
+	require.Eventually(t, func() bool { return f.waitingWatchers() == n }, waitTimeout, time.Millisecond)
 	return f
 }
 
@@ -225,15 +229,34 @@
 			f.mu.Unlock()
 			return nil
 		}
+		f.waiting++
 		f.mu.Unlock()
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return result.New(result.PeerUnreachable, "watch: %v", ctx.Err())
+		err := waitForChange(ctx, changed)
+		f.mu.Lock()
+		f.waiting--
+		f.mu.Unlock()
+		if err != nil {
+			return err
 		}
 	}
 }
 
+func waitForChange(ctx context.Context, changed <-chan struct{}) error {
+	select {
+	case <-changed:
+		return nil
+	case <-ctx.Done():
+		return result.New(result.PeerUnreachable, "watch: %v", ctx.Err())
+	}
+}
+
+// waitingWatchers returns the number of watches that wait for the next change.
+func (f *testFleet) waitingWatchers() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.waiting
+}
+
 // watchResponse returns the current control state. The caller holds s.mu.
 func (f *testFleet) watchResponse() control.WatchResponse {
 	text, err := document.Encode(f.doc)
