--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -44,6 +44,9 @@
 	// memoryLimitShare is the share of the VM's memory that the garbage
 	// collector uses as its soft limit.
 	memoryLimitShare = 0.6
+	// budgetSettleTime is the time after the start until which most of the other VMs
+	// are known.
+	budgetSettleTime = 10 * time.Second
 	// gcPercent is the garbage collector's target percentage (GOGC). It is low,
 	// because peak memory costs more here than the CPU time of more frequent
 	// collections.
@@ -91,7 +94,7 @@
 		fleet: fleet.New(fleet.Config{
 			VM: o.Settings.Name, Zone: o.Settings.Zone, RegionByZone: o.Settings.RegionByZone, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack,
 		}),
-		budget: retrybudget.New(retrybudget.Config{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: max(b.RetryWindow, time.Second)}),
+		budget: retrybudget.New(retrybudget.Config{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: max(b.RetryWindow, time.Second), SettleTime: budgetSettleTime}),
 		canary: canary.New(incarnationName(self), b.ExposureShare, b.SessionTTL),
 		poison: poison.New(),
 		gains:  modelchoice.NewGains(),
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -1,9 +1,12 @@
 package edge
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cranberrypier/cranberrypier/internal/relay"
 )
 
 // maxRouteLabels limits the routes that have a label of their own; the others
@@ -22,8 +25,11 @@
 	duration      *prometheus.HistogramVec
 	attempts      *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
+	storeReasons  *prometheus.CounterVec
 	storeDuration *prometheus.HistogramVec
 	routes        labelSet
+	// readReason is why this VM currently reads the store or not.
+	readReason atomic.Pointer[relay.Reason]
 }
 
 // latencyBuckets are the upper bounds of the latency histograms, in seconds.
@@ -49,12 +55,15 @@
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pier_store_calls_total", Help: "Calls to the platform's store by operation and outcome.",
 		}, []string{"operation", "outcome"}),
+		storeReasons: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pier_store_calls_by_reason_total", Help: "Calls to the platform's store by why this VM read it.",
+		}, []string{"reason"}),
 		storeDuration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "pier_store_call_seconds", Help: "Time of calls to the platform's store by operation.", Buckets: latencyBuckets,
 		}, []string{"operation"}),
 		routes: labelSet{maxValues: maxRouteLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.storeCalls, m.storeDuration)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.storeCalls, m.storeReasons, m.storeDuration)
 	return m
 }
 
@@ -123,6 +132,9 @@
 // ObserveStoreCall records a call to the platform's store.
 func (m *Metrics) ObserveStoreCall(operation, outcome string, took time.Duration) {
 	m.storeCalls.WithLabelValues(operation, outcome).Inc()
+	if reason := m.readReason.Load(); reason != nil {
+		m.storeReasons.WithLabelValues(string(*reason)).Inc()
+	}
 	if operation != "watch" { // the duration of a watch is mostly its wait
 		m.storeDuration.WithLabelValues(operation).Observe(took.Seconds())
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -66,9 +66,9 @@
 }
 
 // setVMs sets the known VMs and the live incarnations.
-func (s *Proxy) setVMs(_ time.Time, known []string, live map[string]bool) {
+func (s *Proxy) setVMs(now time.Time, known []string, live map[string]bool) {
 	s.fleet.SetVMs(known)
-	s.budget.SetVMCount(len(known))
+	s.budget.SetVMCount(now, len(known))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.canary.ClearDepartedVMs(live)
--- a/internal/edge/relaying.go
+++ b/internal/edge/relaying.go
@@ -120,6 +120,7 @@
 	changed := d.Watches != f.relay.decision.Watches || f.relay.decision.Reason == ""
 	f.relay.decision = d
 	f.relay.mu.Unlock()
+	f.proxy.metrics.readReason.Store(&d.Reason)
 	if changed {
 		klog.InfoS("relay: decided whether this VM reads the store", "reads", d.Watches, "because", d.Reason, "rank", d.Rank, "zoneVMs", len(liveInZone), "proofAge", d.Staleness.Milliseconds())
 	}
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -16,6 +16,11 @@
 	// minAssumedVMs is the number of VMs assumed to share the slack while fewer have
 	// been discovered.
 	minAssumedVMs = 32
+	// settlingVMs is the number assumed during Config.SettleTime.
+	settlingVMs = 512
+	// vmCountMemory is how long the highest number of VMs is kept after fewer are
+	// known: those that are out of reach still use their shares.
+	vmCountMemory = 10 * time.Minute
 )
 
 // Config is the fleet-wide limit: per Window, Ratio retries for each request plus
@@ -24,6 +29,9 @@
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
+	// SettleTime is the time after the first call in which this VM may not know most
+	// of the others yet.
+	SettleTime time.Duration
 }
 
 // Budget counts requests and retries of each service in a sliding window.
@@ -31,7 +39,9 @@
 	cfg             Config
 	mu              sync.Mutex
 	countsByService map[string]*counts
-	vmCount         int
+	// vmCount is the highest number of VMs in vmCountMemory, last known at vmCountAt.
+	vmCount   int
+	vmCountAt time.Time
 	// epoch is the start of the first bucket. Buckets are counted from it with the
 	// monotonic clock, because the wall clock may jump.
 	epoch time.Time
@@ -85,7 +95,15 @@
 			retries += c.retries[i]
 		}
 	}
-	return b.cfg.Ratio*ratioShare*float64(requests) + b.cfg.Slack/float64(max(b.vmCount, minAssumedVMs)) - float64(retries)
+	return b.cfg.Ratio*ratioShare*float64(requests) + b.cfg.Slack/float64(b.assumedVMs(now)) - float64(retries)
+}
+
+// assumedVMs returns the number of VMs among which the slack is divided.
+func (b *Budget) assumedVMs(now time.Time) int {
+	if now.Sub(b.epoch) < b.cfg.SettleTime {
+		return max(b.vmCount, settlingVMs)
+	}
+	return max(b.vmCount, minAssumedVMs)
 }
 
 func (b *Budget) bucketNumber(now time.Time) int64 {
@@ -112,9 +130,12 @@
 	return c, i
 }
 
-// SetVMCount sets the number of VMs that share the slack.
-func (b *Budget) SetVMCount(n int) {
+// SetVMCount sets the number of VMs that share the slack. A lower number than before
+// takes effect only after vmCountMemory.
+func (b *Budget) SetVMCount(now time.Time, n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.vmCount = n
+	if n >= b.vmCount || now.Sub(b.vmCountAt) > vmCountMemory {
+		b.vmCount, b.vmCountAt = n, now
+	}
 }
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -53,7 +53,7 @@
 			budgets := make([]*Budget, vms)
 			for i := range budgets {
 				budgets[i] = New(config)
-				budgets[i].SetVMCount(vms)
+				budgets[i].SetVMCount(time.Now(), vms)
 			}
 			begin := time.Now()
 			requests, retries := make([]int, ticks), make([]int, ticks)
@@ -85,3 +85,37 @@
 	}
 	return total
 }
+
+// VMs that have just started know few of the others, and VMs that are cut off hear
+// from few of them. Together they must not use more than the slack.
+func TestSlackWhileFewVMsAreKnown(t *testing.T) {
+	const vms = 295
+	large := Config{Ratio: 0.9, Slack: 630, Window: 10 * time.Second, SettleTime: 10 * time.Second}
+	now := time.Now()
+	for name, prepare := range map[string]func(*Budget) time.Time{
+		"started": func(b *Budget) time.Time {
+			b.SetVMCount(now, 8)
+			return now
+		},
+		"cut off": func(b *Budget) time.Time {
+			b.Remaining(now, service)
+			b.SetVMCount(now, vms)
+			b.SetVMCount(now.Add(time.Minute), 8)
+			return now.Add(time.Minute)
+		},
+	} {
+		retries := 0
+		for range vms {
+			b := New(large)
+			for at := prepare(b); b.TryRetry(at, service); {
+				retries++
+			}
+		}
+		assert.LessOrEqual(t, float64(retries), large.Slack, name)
+	}
+	b := New(large)
+	b.Remaining(now, service)
+	b.SetVMCount(now, vms)
+	b.SetVMCount(now.Add(vmCountMemory+time.Second), 8)
+	assert.Greater(t, b.Remaining(now.Add(vmCountMemory+time.Minute), service), large.Slack/vms, "VMs that left are forgotten in the end")
+}
