--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -15,9 +15,9 @@
 	"github.com/cranberrypier/cranberrypier/internal/logs"
 )
 
-// maxResponseBytes limits the size of a response that is not a stream. A longer
-// response counts as incomplete.
-const maxResponseBytes = 8 << 20
+// maxResponseBytes limits the size of a response that is not a stream, to the default
+// limit of a request's body. A longer response counts as incomplete.
+const maxResponseBytes = defaultMaxBodyBytes
 
 var (
 	errResponseTooLong = errors.New("the response is longer than the limit")
