--- a/internal/edge/sse.go
+++ b/internal/edge/sse.go
@@ -80,7 +80,7 @@
 		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.lastID = string(bytes.TrimSpace(rest))
 		}
-		e.hasData = e.hasData || bytes.HasPrefix(line, []byte("data"))
+		e.hasData = e.hasData || bytes.HasPrefix(line, []byte("data:"))
 	}
 	return e
 }
