--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,6 +62,9 @@
 	// addition, which differs per VM. Seeds do not wait.
 	minListDelay      = 2 * time.Second
 	maxExtraListDelay = 2 * time.Second
+	// noPeersListDelay replaces both while no other VM is known, because there may be
+	// none that runs or is in reach.
+	noPeersListDelay = 400 * time.Millisecond
 	// minCrossZoneDelay and maxExtraCrossZoneDelay are the same for fetching that
 	// state from another zone.
 	minCrossZoneDelay      = 300 * time.Millisecond
@@ -245,7 +248,7 @@
 		d.ConfirmInterval = time.Duration(confirmIntervalShare * minStalenessShare * float64(c.cfg.PropagationLimit))
 	}
 	switch {
-	case !v.Loaded && !c.cfg.Standalone && !c.cfg.Seed && !c.hasWaited(now, minListDelay, maxExtraListDelay):
+	case !v.Loaded && !c.cfg.Standalone && !c.cfg.Seed && !c.hasWaitedForPeers(now, v):
 		d.Lists, d.Watches, d.Reason = false, false, AsksPeers
 	case !c.cfg.Standalone && now.Sub(c.cfg.StartedAt) < listOnlyPeriod:
 		d.Watches, d.Reason = false, Starting
@@ -270,6 +273,15 @@
 	return min(max((minReaders+zones-1)/zones, 1), maxReadersPerZone)
 }
 
+// hasWaitedForPeers reports whether this VM has waited long enough for the state of a
+// peer.
+func (c *Core) hasWaitedForPeers(now time.Time, v View) bool {
+	if len(v.Zone) <= 1 && v.Zones <= 1 {
+		return now.Sub(c.cfg.StartedAt) >= noPeersListDelay
+	}
+	return c.hasWaited(now, minListDelay, maxExtraListDelay)
+}
+
 // hasWaited reports whether the time since the start exceeds a delay that differs
 // per VM.
 func (c *Core) hasWaited(now time.Time, minimum, maxExtra time.Duration) bool {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -42,6 +42,8 @@
 	}{
 		"a VM that has just started asks its peers":  {10, 0, notLoaded, begin.Add(minListDelay - 1), func(d Decision) bool { return !d.Lists && !d.Watches && d.Reason == AsksPeers }},
 		"it lists if they do not answer":             {10, 0, notLoaded, begin.Add(minListDelay + maxExtraListDelay), func(d Decision) bool { return d.Lists }},
+		"a VM that hears of no peer lists soon":      {1, 0, notLoaded, begin.Add(noPeersListDelay), func(d Decision) bool { return d.Lists }},
+		"but not at once":                            {1, 0, notLoaded, begin.Add(noPeersListDelay - 1), func(d Decision) bool { return !d.Lists && d.Reason == AsksPeers }},
 		"a seed that has just started lists":         {10, 0, func(c *Config, v *View) { c.Seed, v.Loaded = true, false }, begin, func(d Decision) bool { return d.Lists && !d.Watches && d.Reason == Starting }},
 		"a standalone VM reads at once":              {1, 0, func(c *Config, v *View) { c.Standalone, v.Loaded = true, false }, begin, func(d Decision) bool { return d.Lists && d.Watches }},
 		"a VM without live peers reads":              {1, 0, nil, begin.Add(listOnlyPeriod), func(d Decision) bool { return d.Watches && d.Reason == FewVMs }},
