edge: The log and a metric say how a response was framed and how it ended

Change: framing and leftover in "attempt: done", pier_response_ends_total by framing and end. The stand-in of replicas can stream with neither length nor chunks. No change of logic.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -41,12 +41,40 @@
 
 	// disconnected is true when the upstream broke the connection, not this VM.
 	disconnected bool
+	// framing is how the response marks the end of its body; empty without one.
+	framing framing
+	// bodyRead is true once the body has been read to its end.
+	bodyRead bool
+	// leftover is the number of bytes after the last complete event at the end of
+	// a stream.
+	leftover int
 
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	released bool
 }
 
+// framing is how a response marks the end of its body.
+type framing string
+
+const (
+	framedByLength framing = "length"
+	framedByChunks framing = "chunks"
+	// framedByClose: the end of the connection is the end of the body, also if the
+	// upstream ended early.
+	framedByClose framing = "close"
+)
+
+func framingOf(resp *http.Response) framing {
+	switch {
+	case resp.ContentLength >= 0:
+		return framedByLength
+	case len(resp.TransferEncoding) > 0:
+		return framedByChunks
+	}
+	return framedByClose
+}
+
 // sendAttempt sends the request to the picked upstream and waits for the head
 // of the response, at most headTimeout. A headTimeout of zero waits until the
 // request's deadline.
@@ -72,7 +100,7 @@
 		a.recordNoResponse(err)
 		return a
 	}
-	a.body = resp.Body
+	a.body, a.framing = resp.Body, framingOf(resp)
 	a.head = x.proxy.protocol.DecodeHead(resp, details)
 	a.attemptStatus = a.head.AttemptStatus
 	a.timeToHead = time.Since(a.startedAt)
@@ -123,6 +151,8 @@
 		a.recordTruncation(err)
 	case len(body) > maxResponseBytes:
 		a.err = errResponseTooLong
+	default:
+		a.bodyRead = true
 	}
 	return body, a.err
 }
@@ -170,6 +200,19 @@
 	return fleet.OutcomeSuccess
 }
 
+// bodyEnd returns how the body of the response ended, for the metrics.
+func (a *attempt) bodyEnd() string {
+	switch {
+	case a.disconnected:
+		return "broken_off"
+	case !a.bodyRead:
+		return "canceled"
+	case a.leftover > 0:
+		return "inside_event"
+	}
+	return "regular"
+}
+
 func (a *attempt) log(upstreamOutcome fleet.Outcome) {
 	status, confidence := 0, exchange.NoConfidence
 	if a.head != nil {
@@ -179,5 +222,5 @@
 		"model", a.model, "why", a.state.versionReason, "cost", int(a.pick.Cost), "candidates", a.pick.EligibleCount,
 		"uncached", a.pick.UncachedTokens, "expect", a.pick.ExpectedLatency.Milliseconds(), "firstByte", a.timeToHead.Milliseconds(),
 		"took", time.Since(a.startedAt).Milliseconds(), "fate", a.attemptStatus, "status", status, "confidence", confidence,
-		"end", upstreamOutcome, "err", logs.Err(a.err))
+		"framing", a.framing, "leftover", a.leftover, "end", upstreamOutcome, "err", logs.Err(a.err))
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -24,6 +24,7 @@
 	firstByte     *prometheus.HistogramVec
 	duration      *prometheus.HistogramVec
 	attempts      *prometheus.CounterVec
+	bodyEnds      *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	storeReasons  *prometheus.CounterVec
 	storeDuration *prometheus.HistogramVec
@@ -52,6 +53,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pier_attempts_total", Help: "Attempts at upstreams by model and fate.",
 		}, []string{"model", "fate"}),
+		bodyEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pier_response_ends_total", Help: "Responses of upstreams by how they mark the end of their body, and how they ended.",
+		}, []string{"framing", "end"}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pier_store_calls_total", Help: "Calls to the platform's store by operation and outcome.",
 		}, []string{"operation", "outcome"}),
@@ -63,7 +67,7 @@
 		}, []string{"operation"}),
 		routes: labelSet{maxValues: maxRouteLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.storeCalls, m.storeReasons, m.storeDuration)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.storeCalls, m.storeReasons, m.storeDuration)
 	return m
 }
 
@@ -127,6 +131,9 @@
 
 func (m *Metrics) countAttempt(a *attempt) {
 	m.attempts.WithLabelValues(a.model, a.attemptStatus.String()).Inc()
+	if a.framing != "" {
+		m.bodyEnds.WithLabelValues(string(a.framing), a.bodyEnd()).Inc()
+	}
 }
 
 // ObserveStoreCall records a call to the platform's store.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -150,6 +150,7 @@
 			stallTimer.Reset(stallTimeout)
 		}
 		if errors.Is(err, io.EOF) {
+			a.bodyRead, a.leftover = true, len(events.bytes)
 			return st.endStream(events.bytes)
 		}
 		if errors.Is(err, errEventTooLong) || errors.Is(err, errNoProgress) {
--- a/internal/fake/platformside/replica.go
+++ b/internal/fake/platformside/replica.go
@@ -31,8 +31,8 @@
 	Foreign bool
 	// Unsigned responds without a signature.
 	Unsigned bool
-	// Unframed responds without a Content-Length: closing the connection marks
-	// the end of the body.
+	// Unframed responds with neither a Content-Length nor chunks: closing the
+	// connection marks the end of the body, also of a truncated stream.
 	Unframed bool
 	// Early responds with 429 and X-Not-Executed before it reads the request body.
 	Early bool
@@ -244,10 +244,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer func() { _ = conn.Close() }() // closing the connection marks the end of the response
-	_, _ = fmt.Fprintf(buf, "HTTP/1.1 %d OK\r\n", status)
-	for k, v := range w.Header() {
-		_, _ = fmt.Fprintf(buf, "%s: %s\r\n", k, v[0])
-	}
+	writeRawHead(buf.Writer, status, w.Header())
 	if f.Unframed {
 		_, _ = fmt.Fprintf(buf, "Connection: close\r\n\r\n%s", body)
 	} else {
@@ -273,8 +270,8 @@
 	if !f.Unsigned {
 		h.Set("X-Response-Signature", Signature(p.ID, run.ID, http.StatusOK, run.Model))
 	}
-	w.WriteHeader(http.StatusOK)
-	controller := http.NewResponseController(w)
+	out := newStreamWriter(w, f.Unframed)
+	defer out.close()
 	lastReceived, err := strconv.Atoi(run.LastEventID)
 	if err != nil {
 		lastReceived = 0
@@ -284,15 +281,13 @@
 			return
 		}
 		text := Event(run.ID, run.Model, id)
-		if f.Torn && id == lastReceived+3 {
-			_, _ = io.WriteString(w, text[:len(text)/2]) // truncated within the third event of this response
-			_ = controller.Flush()                       // the client may have disconnected
-			panic(http.ErrAbortHandler)
+		if f.Torn && id == lastReceived+3 { // within the third event of this response
+			out.truncate(text[:len(text)/2])
+			return
 		}
-		if _, err := io.WriteString(w, text); err != nil {
+		if err := out.write(text); err != nil {
 			return
 		}
-		_ = controller.Flush() // the client may have disconnected
 		time.Sleep(p.EventInterval)
 	}
 }
