--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -84,7 +84,13 @@
 
 func (s *site) startDefaults() {
 	s.t.Helper()
-	s.configure(routes(), key)
+	s.startDefaultsWith(routes())
+}
+
+// startDefaultsWith starts one VM and three replicas of each service.
+func (s *site) startDefaultsWith(list []route) {
+	s.t.Helper()
+	s.configure(list, key)
 	for i := range 3 {
 		s.startReplica(fmt.Sprintf("e%d", i), engine)
 		s.startReplica(fmt.Sprintf("o%d", i), orders)
--- a/internal/edge/stream_test.go
+++ b/internal/edge/stream_test.go
@@ -117,6 +117,49 @@
 	assert.True(t, strings.HasPrefix(streamOf("b", "small", 1, 30), g.body), "the received events are a correct prefix of the stream")
 }
 
+// Guards against a stream that ends as complete although its upstream broke it off
+// inside an event, on a connection whose end is the only mark of the body's end.
+func TestStreamBrokenOffInsideAnEventEndsAsComplete(t *testing.T) {
+	for _, resumable := range []bool{true, false} {
+		t.Run(fmt.Sprint("resumable ", resumable), func(t *testing.T) {
+			s := newSite(t)
+			list := routes()
+			list[0]["resumable"] = resumable
+			s.startDefaultsWith(list)
+			for _, id := range []string{"e0", "e1"} {
+				s.replicas[id].SetFaults(platformside.ReplicaFaults{Torn: true, Unframed: true})
+			}
+			s.replicas["e2"].SetFaults(platformside.ReplicaFaults{Unframed: true})
+			brokenOff := false
+			for i, id := range strings.Split("abcdefghijkl", "") {
+				c := chat(id)
+				c.header["X-Prefix-Hash"] = fmt.Sprintf("%x:800,bb:660", i)
+				g := s.do(c)
+				whole := streamOf(id, "small", 1, eventsPerStream)
+				if resumable || s.runs(id)[0].Replica == "e2" {
+					assert.NoError(t, g.err, id)
+					assert.Equal(t, whole, g.body)
+				} else {
+					assert.Error(t, g.err, "%s looks complete: %q", id, g.body)
+					assert.Equal(t, streamOf(id, "small", 1, 2), g.body, "part of an event was forwarded")
+				}
+				brokenOff = brokenOff || s.runs(id)[0].Replica != "e2"
+			}
+			assert.True(t, brokenOff, "no stream was broken off")
+		})
+	}
+}
+
+// Guards against a complete-looking stream without any event.
+func TestStreamWithoutEventsEndsAsComplete(t *testing.T) {
+	s := newStandardSite(t)
+	s.setFaults("e", platformside.ReplicaFaults{Unframed: true})
+	for _, p := range s.replicas {
+		p.Events = 0
+	}
+	assert.Error(t, s.do(chat("a")).err)
+}
+
 func TestStreamRejectedByAllReplicas(t *testing.T) {
 	s := newStandardSite(t)
 	s.setFaults("e", platformside.ReplicaFaults{Reject: true})
