edge: A stream that ends inside an event was broken off

Cause: for the HTTP client the end of a connection is the regular end of a body that has neither a length nor chunks. The VM forwarded what followed the last complete event, ended its own chunks and counted a success for the upstream. Class: an end of transport taken for an end of message. Change: a stream that ends inside an event, or on such a connection before its first event, counts as broken off: it resumes at another upstream, or the caller's connection is closed without the end of the chunks; no part of an event is forwarded. Comments and empty lines at the end are complete.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -43,6 +43,8 @@
 	disconnected bool
 	// framing is how the response marks the end of its body; empty without one.
 	framing framing
+	// hasEvents is true once an event of a stream was forwarded.
+	hasEvents bool
 	// bodyRead is true once the body has been read to its end.
 	bodyRead bool
 	// leftover is the number of bytes after the last complete event at the end of
@@ -203,12 +205,12 @@
 // bodyEnd returns how the body of the response ended, for the metrics.
 func (a *attempt) bodyEnd() string {
 	switch {
+	case errors.Is(a.err, errEndInsideEvent), errors.Is(a.err, errNoEvents):
+		return "inside_event"
 	case a.disconnected:
 		return "broken_off"
 	case !a.bodyRead:
 		return "canceled"
-	case a.leftover > 0:
-		return "inside_event"
 	}
 	return "regular"
 }
--- a/internal/edge/sse.go
+++ b/internal/edge/sse.go
@@ -17,6 +17,9 @@
 var (
 	errEventTooLong = errors.New("stream event is too long")
 	errNoProgress   = errors.New("too many bytes without an event that carries data")
+
+	errEndInsideEvent = errors.New("the stream ended inside an event")
+	errNoEvents       = errors.New("the connection ended before the first event")
 )
 
 // eventReader splits a text/event-stream into complete events.
@@ -97,3 +100,23 @@
 	}
 	return end
 }
+
+// endsInsideEvent reports whether a stream that ends with rest, the bytes after its
+// last complete event, was broken off: in the middle of a line, or before the
+// empty line that ends an event. Comments and empty lines are not part of an event.
+func endsInsideEvent(rest []byte) bool {
+	open := false
+	for line := range bytes.Lines(rest) {
+		text, terminated := bytes.CutSuffix(line, []byte("\n"))
+		text = bytes.TrimSuffix(text, []byte("\r"))
+		switch {
+		case !terminated:
+			return true
+		case len(text) == 0:
+			open = false
+		case text[0] != ':':
+			open = true
+		}
+	}
+	return open
+}
--- a/internal/edge/sse_test.go
+++ b/internal/edge/sse_test.go
@@ -46,6 +46,15 @@
 	}
 }
 
+func TestEndsInsideEvent(t *testing.T) {
+	for rest, want := range map[string]bool{
+		"": false, "\n": false, "\r\n": false, ": comment\n": false, ": comment\n\r\n": false, "data: a\n\r\n": false,
+		"i": true, "id: 1": true, "id: 1\n": true, "id: 1\ndata: a": true, "id: 1\ndata: a\n": true, "data: a\r\n": true, ": comm": true, "data: a\n\r\nid: 2\n": true,
+	} {
+		assert.Equal(t, want, endsInsideEvent([]byte(rest)), "%q", rest)
+	}
+}
+
 func TestEventReaderBounds(t *testing.T) {
 	_, _, _, err := readAll(strings.NewReader(strings.Repeat("x", maxEventBytes+readSize+1)))
 	assert.ErrorIs(t, err, errEventTooLong)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -150,8 +150,7 @@
 			stallTimer.Reset(stallTimeout)
 		}
 		if errors.Is(err, io.EOF) {
-			a.bodyRead, a.leftover = true, len(events.bytes)
-			return st.endStream(events.bytes)
+			return st.endStream(a, events.bytes)
 		}
 		if errors.Is(err, errEventTooLong) || errors.Is(err, errNoProgress) {
 			a.err = err // this VM ends the attempt
@@ -164,6 +163,7 @@
 		if !st.write(events.bytes) {
 			return streamDone
 		}
+		a.hasEvents = true
 		if events.lastID != "" {
 			st.resumeAfter = events.lastID
 		}
@@ -194,9 +194,19 @@
 	return true
 }
 
-// endStream forwards the remaining bytes of a stream that its upstream has
-// ended.
-func (st *streamState) endStream(rest []byte) streamResult {
+// endStream ends a stream whose body has ended in the regular way, with the bytes
+// after its last complete event. The end of a connection that is the only mark of
+// the body's end does not show that the upstream had finished.
+func (st *streamState) endStream(a *attempt, rest []byte) streamResult {
+	a.bodyRead, a.leftover = true, len(rest)
+	if endsInsideEvent(rest) {
+		a.recordTruncation(errEndInsideEvent)
+		return streamBroken
+	}
+	if a.framing == framedByClose && !a.hasEvents && st.resumeAfter == "" {
+		a.recordTruncation(errNoEvents)
+		return streamBroken
+	}
 	if len(rest) > 0 && !st.write(rest) {
 		return streamDone
 	}
--- a/internal/edge/stream_test.go
+++ b/internal/edge/stream_test.go
@@ -136,14 +136,15 @@
 				c.header["X-Prefix-Hash"] = fmt.Sprintf("%x:800,bb:660", i)
 				g := s.do(c)
 				whole := streamOf(id, "small", 1, eventsPerStream)
-				if resumable || s.runs(id)[0].Replica == "e2" {
+				runs := s.runs(id)
+				if resumable || runs[0].Replica == "e2" {
 					assert.NoError(t, g.err, id)
 					assert.Equal(t, whole, g.body)
 				} else {
 					assert.Error(t, g.err, "%s looks complete: %q", id, g.body)
 					assert.Equal(t, streamOf(id, "small", 1, 2), g.body, "part of an event was forwarded")
 				}
-				brokenOff = brokenOff || s.runs(id)[0].Replica != "e2"
+				brokenOff = brokenOff || len(runs) > 1 || runs[0].Replica != "e2"
 			}
 			assert.True(t, brokenOff, "no stream was broken off")
 		})
--- a/internal/fake/platformside/stream.go
+++ b/internal/fake/platformside/stream.go
@@ -29,7 +29,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	writeRawHead(buf.Writer, http.StatusOK, w.Header())
-	_, _ = buf.WriteString("Connection: close\r\n\r\n") // Flush reports the error
+	_, _ = buf.WriteString("Connection: close\r\n\r\n")
+	_ = buf.Flush() // the client may have disconnected
 	return &streamWriter{w: buf, flush: buf.Flush, conn: conn}
 }
 
