edge: Aborted streams reset the connections of callers that speak HTTP/1.0

Change: such a connection is reset. edge.TestAbortedStreamEndsAsCompleteForHTTP10 failed before (the caller read a regular end). Also looked at: the product's own streams need their terminator (upstream.Stream), peers' and the store's responses are JSON documents, and a plain response without a length that ends in the regular way is complete by the protocol; a reset is an error already (attempt.readResponse).

--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -24,6 +24,9 @@
 	w     http.ResponseWriter
 	ctx   context.Context
 	req   *exchange.Request
+	// closeDelimited is true if the end of the caller's connection is the only mark
+	// of a stream's end, as in HTTP/1.0.
+	closeDelimited bool
 	// resumeAfter is the ID of the last event that the caller has received.
 	resumeAfter string
 
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -240,6 +241,23 @@
 		st.outcome = "caller_gone"
 	}
 	klog.InfoS("request: stream aborted before its end", "request", st.req.ID, "because", reason, "after", st.resumeAfter, "outcome", st.outcome)
+	if st.closeDelimited {
+		st.resetConnection()
+	}
 	st.finishRequest() // the panic skips the call in ServeHTTP
 	panic(http.ErrAbortHandler)
 }
+
+// resetConnection resets the caller's connection. Without chunks, a connection
+// that is merely closed would end the response in the regular way.
+func (st *streamState) resetConnection() {
+	conn, _, err := st.controller.Hijack()
+	if err != nil {
+		klog.InfoS("request: connection not reset", "request", st.req.ID, "err", logs.Err(err))
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is gone
+	}
+	_ = conn.Close() // the caller may have disconnected
+}
--- a/internal/edge/stream_test.go
+++ b/internal/edge/stream_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -161,6 +164,23 @@
 	assert.Error(t, s.do(chat("a")).err)
 }
 
+// Guards against an aborted stream that looks complete to a caller that speaks
+// HTTP/1.0, to which streams are sent without chunks.
+func TestAbortedStreamEndsAsCompleteForHTTP10(t *testing.T) {
+	s := newSite(t)
+	list := routes()
+	list[0]["resumable"] = false
+	s.startDefaultsWith(list)
+	s.setFaults("e", platformside.ReplicaFaults{Torn: true})
+	conn, err := net.Dial("tcp", s.vms[0].settings.CallerAddress)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /chat/x HTTP/1.0\r\nHost: %s\r\nX-Attempt-Id: a\r\nApi-Key: %s\r\nX-Model: *\r\nX-Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n", host, key)
+	require.NoError(t, err)
+	_, err = io.ReadAll(conn)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
 func TestStreamRejectedByAllReplicas(t *testing.T) {
 	s := newStandardSite(t)
 	s.setFaults("e", platformside.ReplicaFaults{Reject: true})
