--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -192,6 +192,16 @@
 	return d.Sum64()
 }
 
+// sharedPartIDs returns the IDs of the parts of a prompt that other requests may
+// share: all parts except the last.
+func sharedPartIDs(r *exchange.Request) []string {
+	var ids []string
+	for i := 0; i+1 < len(r.PromptParts); i++ {
+		ids = append(ids, r.PromptParts[i].ID)
+	}
+	return ids
+}
+
 // versionRule returns the versions that a request may run on.
 func (s *Proxy) versionRule(now time.Time, r *exchange.Request) canary.Rule {
 	versions := s.fleet.Versions(r.Service.Name)
@@ -222,6 +232,8 @@
 // recordDisconnect records that an upstream broke its connection while it ran a
 // request.
 func (s *Proxy) recordDisconnect(a *attempt) {
+	klog.InfoS("poison: an upstream broke the connection under a request", "request", a.state.req.ID, "upstream", a.pick.ID,
+		"born", a.pick.Incarnation, "parts", sharedPartIDs(a.state.req), "answered", a.head != nil)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.poison.Add(time.Now(), poison.Disconnect{Fingerprint: a.state.req.Fingerprint, Upstream: a.pick.ID, Incarnation: a.pick.Incarnation})
