--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -42,3 +43,114 @@
 		assert.Equal(t, 200, send(vm, id+"-other", "other").status)
 	}
 }
+
+// crashingFleet is a site whose model replicas crash on a deadly part and start
+// again at other addresses.
+type crashingFleet struct {
+	*site
+	mu      sync.Mutex
+	crashes int
+	starts  int
+	ended   bool
+}
+
+// restartDelay is how long a crashed replica is down; its entry stays in the list
+// for half of it.
+const restartDelay = time.Second
+
+func newCrashingFleet(t *testing.T, replicas, vms int, part string) *crashingFleet {
+	c := &crashingFleet{site: newSite(t)}
+	t.Cleanup(func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.ended = true
+	})
+	c.configure(routes(), key)
+	for range replicas {
+		c.start(part)
+	}
+	for i := range vms {
+		c.startVM(fmt.Sprintf("vm-%d", i))
+	}
+	time.Sleep(300 * time.Millisecond) // the VMs hear of each other
+	return c
+}
+
+func (c *crashingFleet) start(part string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return
+	}
+	c.starts++
+	id := fmt.Sprintf("e%d", c.starts)
+	p, server := c.listenReplica(id)
+	p.SetFaults(platformside.ReplicaFaults{DeadlyPart: part})
+	var once sync.Once
+	p.Crash = func() {
+		once.Do(func() {
+			_ = server.Listener.Close() // new connections are refused from now on
+			go server.CloseClientConnections()
+			c.mu.Lock()
+			c.crashes++
+			c.mu.Unlock()
+			time.AfterFunc(restartDelay/2, func() { c.store.Remove("servers", id) })
+			time.AfterFunc(restartDelay, func() { c.start(part) })
+		})
+	}
+	c.putEntry(id, engine, c.addresses[id], nil)
+}
+
+func (c *crashingFleet) crashCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crashes
+}
+
+// prompt returns a request whose prompt has some shared parts; no two are alike.
+func (c *crashingFleet) prompt(id string, parts ...string) call {
+	r := chat(id)
+	r.body, r.deadline = "prompt of "+id, 2*time.Second
+	r.header["X-Prefix-Hash"] = ""
+	for _, part := range parts {
+		r.header["X-Prefix-Hash"] += part + ":800,"
+	}
+	r.header["X-Prefix-Hash"] += "own-" + id + ":60"
+	return r
+}
+
+// Guards against upstreams that crash one after the other on requests that share a
+// deadly part of their prompts and nothing else, and against sound requests that
+// are refused because they share the caller and the other parts.
+func TestDeadlyPromptPartKeepsCrashingUpstreams(t *testing.T) {
+	c := newCrashingFleet(t, 8, 2, "dead")
+	const (
+		maxCrashes     = 5
+		maxLateCrashes = 3
+	)
+	sound, served := 0, 0
+	atFifth, settled := time.Time{}, 0
+	for i := range 60 {
+		c.vms[0], c.vms[1] = c.vms[1], c.vms[0] // do uses the first VM
+		c.do(c.prompt(fmt.Sprintf("dead-%d", i), "system", "dead"))
+		if c.crashCount() >= maxCrashes && atFifth.IsZero() {
+			atFifth = time.Now()
+		}
+		if !atFifth.IsZero() && settled == 0 && time.Since(atFifth) > 3*time.Second {
+			settled = c.crashCount()
+		}
+		g := c.do(c.prompt(fmt.Sprintf("sound-%d", i), "system", fmt.Sprintf("subject-%d", i%7)))
+		if i >= 30 {
+			sound++
+			if g.err == nil && g.status == 200 {
+				served++
+			}
+		}
+		time.Sleep(80 * time.Millisecond)
+	}
+	if settled > 0 {
+		assert.LessOrEqual(t, c.crashCount(), settled+maxLateCrashes, "crashes after the stability window")
+	}
+	assert.LessOrEqual(t, c.crashCount(), 2*maxCrashes)
+	assert.GreaterOrEqual(t, served, sound*9/10, "sound requests of the route")
+}
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -117,12 +117,18 @@
 // startReplica starts a replica and lists it.
 func (s *site) startReplica(id, service string) {
 	s.t.Helper()
+	s.listenReplica(id)
+	s.putEntry(id, service, s.addresses[id], nil)
+}
+
+// listenReplica starts a replica without listing it.
+func (s *site) listenReplica(id string) (*platformside.Replica, *httptest.Server) {
 	p := platformside.NewReplica(id)
 	server := httptest.NewServer(p)
 	s.t.Cleanup(server.CloseClientConnections)
 	s.replicas[id] = p
 	s.addresses[id] = strings.TrimPrefix(server.URL, "http://")
-	s.putEntry(id, service, s.addresses[id], nil)
+	return p, server
 }
 
 // putEntry writes a replica's entry to the store.
--- a/internal/fake/platformside/replica.go
+++ b/internal/fake/platformside/replica.go
@@ -43,6 +43,9 @@
 	// Endless sends bytes that are not a response until the client closes the
 	// connection; empty for no fault.
 	Endless EndlessFault
+	// DeadlyPart is a shared part of a prompt on which the replica crashes after the
+	// first event of its response; empty for none.
+	DeadlyPart string
 	// Delay is the time to wait before the first byte of the response.
 	Delay time.Duration
 }
@@ -75,6 +78,8 @@
 	EventInterval time.Duration
 	// ProcessingTime is the processing time of a request that is not a stream.
 	ProcessingTime time.Duration
+	// Crash is called when the replica crashes on a deadly part.
+	Crash func()
 	// Confidence is the reported confidence, 0 to 100, by model; a model that is
 	// not listed reports 100.
 	Confidence map[string]int
@@ -288,6 +293,22 @@
 		if err := out.write(text); err != nil {
 			return
 		}
+		if hasSharedPart(r, f.DeadlyPart) {
+			p.Crash()
+			panic(http.ErrAbortHandler)
+		}
 		time.Sleep(p.EventInterval)
 	}
 }
+
+// hasSharedPart reports whether a part of the request's prompt, other than the
+// last, has this ID.
+func hasSharedPart(r *http.Request, id string) bool {
+	parts := strings.Split(r.Header.Get("X-Prefix-Hash"), ",")
+	for _, part := range parts[:len(parts)-1] {
+		if name, _, _ := strings.Cut(part, ":"); id != "" && name == id {
+			return true
+		}
+	}
+	return false
+}
