poison: Content is suspected by shared parts of prompts, too

Cause: crashes were counted by the request as a whole (target, team, body), and no two of these requests are alike. Class: a limit kept by a key that the harm does not share. Change: a crash marks the request and each shared part of its prompt, of all requests that were running there. Content is blocked after three crashes in sequence. Sound content is told apart: a request that completes clears its content; runs under way together count once (several upstreams lost at once); crashes that blocked content explains do not count for other content; of equals the part that comes last in prompts is blocked. A crash counts as soon as the upstream refuses a connection. Runs that this VM dropped shortly before a crash (a larger model) count as well. VMs share marks in a datagram of its own, five times a second while something is suspected. A blocked request is refused at once with the new code 1110 (503, not run) and the time at which the block ends, in place of a 502 that invites a resend at once. The block ends on one VM after the other; one more crash renews it everywhere. Failed try: suspects in the regular datagrams.

--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -96,7 +96,7 @@
 		}),
 		budget: retrybudget.New(retrybudget.Config{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: max(b.RetryWindow, time.Second), SettleTime: budgetSettleTime}),
 		canary: canary.New(incarnationName(self), b.ExposureShare, b.SessionTTL),
-		poison: poison.New(),
+		poison: poison.New(o.Settings.Name),
 		gains:  modelchoice.NewGains(),
 	}
 	follower := NewFollower(s, o, time.Now())
--- /dev/null
+++ b/internal/edge/crashes.go
@@ -0,0 +1,127 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/cranberrypier/cranberrypier/internal/exchange"
+	"github.com/cranberrypier/cranberrypier/internal/poison"
+	"github.com/cranberrypier/cranberrypier/internal/result"
+)
+
+// sharedPartIDs returns the IDs of the parts of a prompt that other requests may
+// share: all parts except the last.
+func sharedPartIDs(r *exchange.Request) []string {
+	var ids []string
+	for i := 0; i+1 < len(r.PromptParts); i++ {
+		ids = append(ids, r.PromptParts[i].ID)
+	}
+	return ids
+}
+
+// isContentBlocked reports whether the request has content that crashes upstreams.
+func (x *requestState) isContentBlocked() bool {
+	s, now := x.proxy, time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.poison.ConfirmDelisted(now, s.fleet.Listed)
+	var blocked bool
+	x.blockedFor, blocked = s.poison.Blocked(now, x.req.ContentKeys)
+	return blocked
+}
+
+// contentBlockedError returns the response to a request that isContentBlocked.
+func (x *requestState) contentBlockedError() *result.Error {
+	klog.InfoS("poison: the request is not sent because upstreams crashed on its content", "request", x.req.ID,
+		"keys", x.req.ContentKeys, "parts", sharedPartIDs(x.req), "for", x.blockedFor)
+	return result.New(result.ContentBlocked, "upstreams crashed on this request or on a part of its prompt").WithRetryAfter(x.blockedFor)
+}
+
+// recordCrashEvidence records what the end of an attempt says of the request's
+// content.
+func (s *Proxy) recordCrashEvidence(now time.Time, a *attempt) {
+	run := poison.Run{
+		Upstream: a.pick.ID, Incarnation: a.pick.Incarnation, Keys: a.state.req.ContentKeys, BeganAt: a.startedAt.Add(a.timeToHead), EndedAt: now,
+	}
+	switch {
+	case a.disconnected:
+		s.recordDisconnect(now, a, run)
+	case a.attemptStatus == exchange.NotSent && errors.Is(a.err, syscall.ECONNREFUSED):
+		s.confirmCrash(now, a.pick.ID, a.pick.Incarnation)
+	case a.completed():
+		s.mu.Lock()
+		s.poison.Completed(now, run.Keys)
+		s.mu.Unlock()
+	case a.attemptStatus == exchange.Answered:
+		s.mu.Lock()
+		s.poison.Dropped(now, run)
+		s.mu.Unlock()
+	}
+}
+
+// completed reports whether the attempt got a complete successful response.
+func (a *attempt) completed() bool {
+	return a.bodyRead && a.err == nil && a.head.Status == http.StatusOK && (a.hasEvents || !a.state.req.Route.Stream)
+}
+
+// recordDisconnect records that an upstream broke the connection under a request,
+// and checks whether it has crashed.
+func (s *Proxy) recordDisconnect(now time.Time, a *attempt, run poison.Run) {
+	klog.InfoS("poison: an upstream broke the connection under a request", "request", a.state.req.ID, "upstream", run.Upstream,
+		"born", run.Incarnation, "keys", run.Keys, "parts", sharedPartIDs(a.state.req), "answered", a.head != nil)
+	s.mu.Lock()
+	check := s.poison.Broken(now, run)
+	s.mu.Unlock()
+	if check {
+		go s.checkCrashed(a.pick.Address, run.Upstream, run.Incarnation)
+	}
+}
+
+// checkCrashed connects to an upstream that broke a connection. Only a process
+// that has ended refuses connections.
+func (s *Proxy) checkCrashed(address, upstream string, incarnation int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), upstreamDialTimeout)
+	defer cancel()
+	conn, err := newDialer(upstreamDialTimeout).DialContext(ctx, "tcp", address)
+	if err == nil {
+		closeUnused(conn)
+		return
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		s.confirmCrash(time.Now(), upstream, incarnation)
+	}
+}
+
+// closeUnused closes a connection on which nothing was sent.
+func closeUnused(conn net.Conn) { _ = conn.Close() }
+
+// confirmCrash records that an upstream refuses connections.
+func (s *Proxy) confirmCrash(now time.Time, upstream string, incarnation int64) {
+	s.mu.Lock()
+	runs := s.poison.Confirm(now, upstream, incarnation)
+	s.mu.Unlock()
+	if runs > 0 {
+		klog.InfoS("poison: the upstream crashed under requests", "upstream", upstream, "born", incarnation, "requests", runs)
+	}
+}
+
+// suspects returns what other VMs should know of content that may crash upstreams.
+func (s *Proxy) suspects(now time.Time) []poison.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.poison.ConfirmDelisted(now, s.fleet.Listed)
+	return s.poison.Share(now)
+}
+
+// blockedContents returns the number of blocked contents, for the metrics.
+func (s *Proxy) blockedContents() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return float64(s.poison.BlockedCount(time.Now()))
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -81,6 +81,7 @@
 		"pier_upstreams":         {"Upstreams that are listed.", func() float64 { return float64(s.fleet.Len()) }},
 		"pier_known_vms":         {"Entry VMs that share the fleet-wide bounds.", func() float64 { return float64(s.fleet.VMCount()) }},
 		"pier_isolated":          {"1 while no upstream is in reach.", s.isolation.gauge},
+		"pier_blocked_contents":  {"Contents of requests that crash upstreams and are not sent.", s.blockedContents},
 		"pier_reads_store":       {"1 while this VM reads the store itself.", f.readsStoreGauge},
 		"pier_store_age_seconds": {"Age of the latest proof that nothing of the store is missing.", f.storeAgeGauge},
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -5,7 +5,6 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/canary"
 	"github.com/cranberrypier/cranberrypier/internal/gossip"
-	"github.com/cranberrypier/cranberrypier/internal/poison"
 	"k8s.io/klog/v2"
 )
 
@@ -14,9 +13,9 @@
 	return gossip.Callbacks{
 		Loads:           s.fleet.VMLoads,
 		RollOuts:        s.rollOutReports,
-		IsUrgent:        s.isRollOutUrgent,
+		IsUrgent:        s.isUrgent,
 		ConfigVersion:   s.configVersion,
-		Disconnects:     s.recentDisconnects,
+		Suspects:        s.suspects,
 		Departures:      s.fleet.RecentDepartures,
 		OnMessage:       s.applyMessage,
 		OnMembership:    s.setVMs,
@@ -30,34 +29,28 @@
 	return s.canary.Reports(now)
 }
 
-func (s *Proxy) isRollOutUrgent(now time.Time) bool {
+func (s *Proxy) isUrgent(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.canary.IsUrgent(now)
-}
-
-func (s *Proxy) recentDisconnects(now time.Time) []poison.Disconnect {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.poison.Recent(now)
+	return s.canary.IsUrgent(now) || s.poison.IsUrgent(now)
 }
 
 // applyMessage applies another VM's gossip message.
 func (s *Proxy) applyMessage(now time.Time, m gossip.Message) {
-	s.fleet.SetRemoteLoads(now, m.From.Name, m.Loads)
+	if len(m.Suspects) == 0 {
+		s.fleet.SetRemoteLoads(now, m.From.Name, m.Loads)
+	}
 	for _, d := range m.Departures {
 		if s.fleet.RecordLeaving(now, d, false) {
 			klog.InfoS("fleet: another VM reported that the upstream is leaving", "upstream", d.Upstream, "born", d.Incarnation, "from", m.From.Name)
 		}
 	}
-	if len(m.RollOuts) == 0 && len(m.Disconnects) == 0 {
+	if len(m.RollOuts) == 0 && len(m.Suspects) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range m.Disconnects {
-		s.poison.Add(now, c)
-	}
+	s.poison.Merge(now, m.Suspects)
 	for _, r := range m.RollOuts {
 		if s.canary.Merge(now, r) {
 			klog.InfoS("canary: another VM judged the new version as bad", "service", r.Service, "target", r.NewVersion, "from", m.From.Name)
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -38,7 +38,9 @@
 	s.setFaults("o", platformside.ReplicaFaults{})
 	for vm := range 2 {
 		id := fmt.Sprintf("again-%d", vm)
-		assert.Equal(t, 502, send(vm, id, "poison").status)
+		g := send(vm, id, "poison")
+		assert.Equal(t, 503, g.status)
+		assert.NotEmpty(t, g.header.Get("Retry-After"))
 		assert.Empty(t, s.runs(id), "VM %d sent it to a replica", vm)
 		assert.Equal(t, 200, send(vm, id+"-other", "other").status)
 	}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -24,6 +24,9 @@
 	w     http.ResponseWriter
 	ctx   context.Context
 	req   *exchange.Request
+	// blockedFor is how long requests with this content are not sent, if
+	// isContentBlocked.
+	blockedFor time.Duration
 	// closeDelimited is true if the end of the caller's connection is the only mark
 	// of a stream's end, as in HTTP/1.0.
 	closeDelimited bool
@@ -112,9 +115,7 @@
 		Service: x.req.Service.Name, Version: a.pick.Version, Route: x.req.Route.Name,
 		Conclusive: conclusive, Bad: conclusive && (upstreamOutcome == fleet.OutcomeFailed || a.late()),
 	})
-	if a.disconnected {
-		x.proxy.recordDisconnect(a)
-	}
+	x.proxy.recordCrashEvidence(now, a)
 	x.proxy.metrics.countAttempt(a)
 	a.log(upstreamOutcome)
 }
@@ -149,6 +150,9 @@
 		Runs: x.runs, MaxRuns: x.req.Route.MaxRuns, Attempts: len(x.tried),
 		TimeLeft: x.req.Deadline.Sub(now), CallerCanceled: x.ctx.Err() != nil,
 	})
+	if d == retry.Again && x.isContentBlocked() {
+		d = retry.ContentBlocked
+	}
 	if d == retry.Again && a.attemptStatus != exchange.NotSent && !x.proxy.budget.TryRetry(now, x.req.Service.Name) {
 		d = retry.BudgetExhausted
 	}
@@ -186,6 +190,8 @@
 	case x.ctx.Err() != nil && time.Now().Before(x.req.Deadline):
 		x.outcome = "caller_gone"
 	case x.sendFallback():
+	case x.runs == 0 && x.blockedFor > 0:
+		x.respondError(x.contentBlockedError(), a.attemptStatus.String())
 	case x.runs == 0:
 		x.recordUnserved()
 		x.respondError(result.New(result.Overloaded, "each upstream that was tried rejected the request or was unreachable").WithRetryAfter(x.proxy.retryAfter(fleet.NoneReachable, x.req.Service.Name)), a.attemptStatus.String())
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -97,9 +97,9 @@
 	if err := x.readBody(r, config.MaxBodyBytes); err != nil {
 		return err
 	}
-	x.req.Fingerprint = poison.FingerprintOf(x.req.RequestURI, x.req.Team, x.req.Body)
-	if s.isPoison(x.req.Fingerprint) {
-		return result.New(result.UpstreamFailed, "the request crashed the upstreams that ran it").WithRun(result.NotRun).WithRetryAfter(0)
+	x.req.ContentKeys = poison.KeysOf(x.req.RequestURI, x.req.Team, x.req.Body, sharedPartIDs(x.req))
+	if x.isContentBlocked() {
+		return x.contentBlockedError()
 	}
 	x.req.Service = config.Services[route.ChooseBackend(x.affinityKey())]
 	if x.req.Service == nil {
@@ -192,16 +192,6 @@
 	return d.Sum64()
 }
 
-// sharedPartIDs returns the IDs of the parts of a prompt that other requests may
-// share: all parts except the last.
-func sharedPartIDs(r *exchange.Request) []string {
-	var ids []string
-	for i := 0; i+1 < len(r.PromptParts); i++ {
-		ids = append(ids, r.PromptParts[i].ID)
-	}
-	return ids
-}
-
 // versionRule returns the versions that a request may run on.
 func (s *Proxy) versionRule(now time.Time, r *exchange.Request) canary.Rule {
 	versions := s.fleet.Versions(r.Service.Name)
@@ -222,23 +212,6 @@
 	s.canary.AttemptEnded(o)
 }
 
-// isPoison reports whether a request has crashed several upstreams.
-func (s *Proxy) isPoison(f poison.Fingerprint) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.poison.Blocked(time.Now(), f, s.fleet.Listed)
-}
-
-// recordDisconnect records that an upstream broke its connection while it ran a
-// request.
-func (s *Proxy) recordDisconnect(a *attempt) {
-	klog.InfoS("poison: an upstream broke the connection under a request", "request", a.state.req.ID, "upstream", a.pick.ID,
-		"born", a.pick.Incarnation, "parts", sharedPartIDs(a.state.req), "answered", a.head != nil)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.poison.Add(time.Now(), poison.Disconnect{Fingerprint: a.state.req.Fingerprint, Upstream: a.pick.ID, Incarnation: a.pick.Incarnation})
-}
-
 // Retry-After values for rejected requests.
 const (
 	// coldRetryAfter is sent for all reasons without a value below, mainly
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -64,8 +64,9 @@
 	PromptParts  []PromptPart
 	PromptTokens int
 	OutputTokens int
-	// Fingerprint stays the same when the caller retries the request.
-	Fingerprint poison.Fingerprint
+	// ContentKeys identify what the request has in common with others: with the same
+	// request sent again, and by the shared parts of its prompt.
+	ContentKeys []poison.Key
 }
 
 // Attempt is one attempt to run a request at one upstream.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,6 +1,6 @@
 // Package gossip exchanges state between the entry VMs in small UDP datagrams:
 // the membership, the requests that each VM has in flight at the upstreams, the
-// progress of roll-outs, connections that upstreams broke, and the digest of each
+// progress of roll-outs, content that may crash upstreams, and the digest of each
 // VM's copy of the store. No datagram depends on an earlier one, and the contents
 // of a lost datagram are sent again later. Nothing that requires consistency
 // depends on the gossip.
@@ -40,8 +40,9 @@
 	// ConfigVersion is the version of the configuration that From uses. Receivers do
 	// not use it.
 	ConfigVersion uint64 `cbor:"5,keyasint,omitempty"`
-	// Disconnects are connections that upstreams broke while they ran a request.
-	Disconnects []poison.Disconnect `cbor:"6,keyasint,omitempty"`
+	// Suspects are contents of requests that ran on upstreams that crashed. They come
+	// in a datagram of their own, whose empty Loads say nothing.
+	Suspects []poison.Suspect `cbor:"10,keyasint,omitempty"`
 	// Digest is the digest of From's copy of the store.
 	Digest *relay.Digest `cbor:"7,keyasint,omitempty"`
 	// Departures are upstreams that recently announced that they are leaving.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -105,6 +105,22 @@
 	assert.NotEmpty(t, back.Loads)
 }
 
+// The most that is shared of suspects fits a datagram.
+func TestSuspectsFitADatagram(t *testing.T) {
+	c := poison.New("vm")
+	for i := range 40 {
+		for j := range 8 {
+			run := poison.Run{Upstream: fmt.Sprint(i, j), Incarnation: 1, Keys: []poison.Key{poison.Key(uint64(i+1) << 56)}, BeganAt: begin, EndedAt: begin.Add(time.Duration(j) * time.Second)}
+			c.Broken(run.EndedAt, run)
+			c.Confirm(run.EndedAt, run.Upstream, run.Incarnation)
+		}
+	}
+	suspects := c.Share(begin.Add(8 * time.Second))
+	var back Message
+	require.NoError(t, cbor.Unmarshal(encode(Message{From: member(0), Suspects: suspects}), &back))
+	assert.Equal(t, suspects, back.Suspects)
+}
+
 func FuzzDatagram(f *testing.F) {
 	f.Add(encode(Message{From: member(0), Members: []Member{member(1)}, Loads: []fleet.VMLoad{{Upstream: "u", Inflight: 1}}}))
 	f.Fuzz(func(_ *testing.T, raw []byte) {
@@ -133,7 +149,7 @@
 			},
 			IsUrgent:        func(time.Time) bool { return false },
 			ConfigVersion:   func() uint64 { return 7 },
-			Disconnects:     func(time.Time) []poison.Disconnect { return nil },
+			Suspects:        func(time.Time) []poison.Suspect { return nil },
 			Departures:      func(time.Time) []fleet.Departure { return []fleet.Departure{{Upstream: "u2", Incarnation: 4}} },
 			Digest:          func(time.Time) *relay.Digest { return &relay.Digest{AgeMS: 3, Revisions: []uint64{1, 9}} },
 			StoreTrouble:    func(time.Time) (time.Duration, bool) { return 20 * time.Millisecond, true },
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -38,7 +38,7 @@
 	// VMs and seeds are added to them.
 	maxLiveTargets = 12
 	// membersInterval is the interval between rounds whose datagrams also contain
-	// members, roll-outs and broken connections. It is fastMembersInterval during
+	// members, roll-outs and suspects. It is fastMembersInterval during
 	// the fastMembersPeriod after the start.
 	membersInterval     = time.Second
 	fastMembersInterval = 400 * time.Millisecond
@@ -52,10 +52,11 @@
 type Callbacks struct {
 	Loads    func(limit int) []fleet.VMLoad
 	RollOuts func(now time.Time) []canary.Report
-	// IsUrgent reports whether the reports of roll-outs should be sent more often.
+	// IsUrgent reports whether the reports of roll-outs and the suspects should be
+	// sent more often.
 	IsUrgent      func(now time.Time) bool
 	ConfigVersion func() uint64
-	Disconnects   func(now time.Time) []poison.Disconnect
+	Suspects      func(now time.Time) []poison.Suspect
 	Departures    func(now time.Time) []fleet.Departure
 	// Digest returns the digest of this VM's copy of the store; nil before the copy
 	// was first confirmed.
@@ -210,7 +211,8 @@
 }
 
 // round sends one datagram to each target. With withMembers, the datagram also
-// contains members, roll-outs and broken connections.
+// contains members and roll-outs, and suspects follow in one of their own: they
+// must not displace the rest, nor the rest them.
 func (s *Service) round(now time.Time, loads []fleet.VMLoad, withMembers bool) {
 	m := Message{
 		From: s.self, Loads: loads, ConfigVersion: s.callbacks.ConfigVersion(), Digest: s.callbacks.Digest(now),
@@ -228,8 +230,15 @@
 	if withMembers {
 		s.reportMembership(now)
 		m.RollOuts = s.callbacks.RollOuts(now)
-		m.Disconnects = s.callbacks.Disconnects(now)
+		if suspects := s.callbacks.Suspects(now); len(suspects) > 0 {
+			s.sendTo(targets, Message{From: s.self, Suspects: suspects})
+		}
 	}
+	s.sendTo(targets, m)
+}
+
+// sendTo sends a message to each target.
+func (s *Service) sendTo(targets []string, m Message) {
 	raw := encode(m)
 	for _, target := range targets {
 		address, err := net.ResolveUDPAddr("udp", target)
@@ -244,7 +253,7 @@
 }
 
 // encode encodes a message. While the datagram is too long, it halves the departures,
-// then the broken connections, the relayed counters of roll-outs, the members and
+// then the suspects, the relayed counters of roll-outs, the members and
 // the loads; a later datagram can carry the dropped entries. If the datagram is
 // still too long without them, it is returned as it is.
 func encode(m Message) []byte {
@@ -259,8 +268,8 @@
 			return raw
 		case len(m.Departures) > 0:
 			m.Departures = m.Departures[:len(m.Departures)/2]
-		case len(m.Disconnects) > 0:
-			m.Disconnects = m.Disconnects[:len(m.Disconnects)/2]
+		case len(m.Suspects) > 0:
+			m.Suspects = m.Suspects[:len(m.Suspects)/2]
 		case shortenReports(m.RollOuts):
 		case len(m.Members) > 0:
 			m.Members = m.Members[:len(m.Members)/2]
--- /dev/null
+++ b/internal/poison/judge.go
@@ -0,0 +1,154 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+// judge decides which content is blocked. Content with the most unexplained crashes
+// comes first; its crashes then no longer count for the rest. The judgement depends
+// on the marks only, so that it is revised when more of them are known.
+func (c *Core) judge(now time.Time) {
+	if !c.stale {
+		return
+	}
+	c.stale = false
+	c.expire(now)
+	explained := make(map[crashID]bool)
+	for _, s := range c.suspects {
+		s.blocked, s.count = false, s.sequence(nil)
+	}
+	for {
+		k, s := c.worst(explained)
+		if s == nil {
+			return
+		}
+		s.blocked = true
+		for _, m := range c.suspects[k].marks {
+			if !m.cleared {
+				explained[m.crash] = true
+			}
+		}
+	}
+}
+
+// worst returns the content with the most crashes that are not explained, if it is
+// to be blocked.
+func (c *Core) worst(explained map[crashID]bool) (Key, *suspect) {
+	var worst *suspect
+	var worstKey Key
+	most := 0
+	for k, s := range c.suspects {
+		n := s.unexplained(explained)
+		if s.blocked || n < max(most, minCrashes) || s.sequence(explained) < minCrashes {
+			continue
+		}
+		if n > most || worst == nil || s.blocksLess(k, worst, worstKey) {
+			worstKey, worst, most = k, s, n
+		}
+	}
+	return worstKey, worst
+}
+
+// blocksLess orders contents with equally many crashes, in the same way on all VMs:
+// first whole requests, then the parts that come last in their prompts, since
+// prompts share their first parts.
+func (s *suspect) blocksLess(k Key, other *suspect, otherKey Key) bool {
+	switch {
+	case k.whole() != otherKey.whole():
+		return k.whole()
+	case s.depth != other.depth:
+		return s.depth > other.depth
+	}
+	return k < otherKey
+}
+
+// unexplained counts the crashes that are neither cleared nor explained.
+func (s *suspect) unexplained(explained map[crashID]bool) int {
+	n := 0
+	for _, m := range s.marks {
+		if !m.cleared && !explained[m.crash] {
+			n++
+		}
+	}
+	return n
+}
+
+// sequence counts crashes one after the other that are neither cleared nor
+// explained: each run began after the crash before.
+func (s *suspect) sequence(explained map[crashID]bool) int {
+	n := 0
+	var last time.Time
+	for _, m := range s.marks {
+		if m.cleared || explained[m.crash] || m.crashedAt.Add(-m.ran).Before(last) {
+			continue
+		}
+		n++
+		last = m.crashedAt
+	}
+	return n
+}
+
+// merge adds a mark and reports whether anything changed.
+func (s *suspect) merge(m mark) bool {
+	i := slices.IndexFunc(s.marks, func(known mark) bool { return known.crash == m.crash })
+	if i < 0 {
+		s.marks = append(s.marks, m)
+		s.sort()
+		if len(s.marks) > maxMarks {
+			s.marks = slices.Delete(s.marks, 0, 1)
+		}
+		return true
+	}
+	known := &s.marks[i]
+	changed := m.cleared && !known.cleared
+	known.cleared = known.cleared || m.cleared
+	if m.crashedAt.Before(known.crashedAt) {
+		known.crashedAt = m.crashedAt
+		changed = true
+	}
+	// Of several runs on one upstream, the one that began last says most.
+	if m.ran < known.ran {
+		known.ran = m.ran
+		changed = true
+	}
+	if changed {
+		s.sort()
+	}
+	return changed
+}
+
+func (s *suspect) sort() {
+	slices.SortFunc(s.marks, func(a, b mark) int { return a.crashedAt.Compare(b.crashedAt) })
+}
+
+// expire removes content whose last crash is too old.
+func (c *Core) expire(now time.Time) {
+	for k, s := range c.suspects {
+		ttl := suspicionTTL
+		if s.sequence(nil) >= minCrashes {
+			ttl = blockedTTL
+		}
+		if now.Sub(s.lastCrash()) > ttl {
+			delete(c.suspects, k)
+		}
+	}
+}
+
+// evict makes room for another suspect: it removes one with the fewest crashes, of
+// these the one with the oldest last crash.
+func (c *Core) evict(now time.Time) {
+	c.expire(now)
+	if len(c.suspects) < maxSuspects {
+		return
+	}
+	var victim Key
+	var found *suspect
+	for k, s := range c.suspects {
+		if found == nil || s.unexplained(nil) < found.unexplained(nil) ||
+			s.unexplained(nil) == found.unexplained(nil) && s.lastCrash().Before(found.lastCrash()) {
+			victim, found = k, s
+		}
+	}
+	delete(c.suspects, victim)
+}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -1,109 +1,258 @@
-// Package poison detects requests that crash the upstreams that run them, so that
-// the VMs reject them when callers send them again. VMs share the broken
-// connections that they have seen. The package does no I/O and reads no clock.
+// Package poison detects content that crashes the upstreams that run it, so that
+// the VMs no longer send requests with it: the same request again, or any request
+// with the same shared part of a prompt. VMs share the crashes that they have
+// seen. The package does no I/O and reads no clock.
+//
+// Each crash marks the content of all requests that ran on the upstream. Most of
+// them are sound and only happened to be there, so:
+//
+//   - A request that completes clears the marks of its content.
+//   - Marks of runs that were under way together count as one. Otherwise a loss of
+//     several upstreams at once would mark whatever is sent often.
+//   - Crashes that blocked content explains do not count for other content.
 package poison
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// crashThreshold is the number of upstream crashes after which a request is
-	// blocked.
-	crashThreshold = 3
-	// disconnectTTL is how long a broken connection counts.
-	disconnectTTL = time.Minute
-	// maxDisconnects limits the records that are kept.
-	maxDisconnects = 2048
-	// maxRecent limits the records that are sent to other VMs at once.
-	maxRecent = 6
+	// minCrashes is the number of crashes, one after the other, after which content
+	// is blocked.
+	minCrashes = 3
+	// suspicionTTL is how long content below minCrashes is kept after its last crash.
+	suspicionTTL = time.Minute
+	// blockedTTL is how long blocked content is kept after its last crash. One more
+	// crash blocks it again.
+	blockedTTL = 30 * time.Minute
+	// minBlockTime is how long content is blocked after minCrashes crashes. Each
+	// further crash adds the same time.
+	minBlockTime = time.Minute
+	// maxSuspects and maxMarks limit what is kept: contents, and crashes of each.
+	maxSuspects = 512
+	maxMarks    = 8
+	// maxParts limits the parts of one prompt that a crash marks.
+	maxParts = 16
 )
 
-// Fingerprint is the same when a caller sends the same request again, also to
-// another VM. It is a hash of the request target, team and body.
-type Fingerprint uint64
+// Key identifies content that requests have in common. The lowest bit is set for a
+// whole request and clear for a part of a prompt.
+type Key uint64
 
-// FingerprintOf returns the fingerprint of a request.
-func FingerprintOf(target, team string, body []byte) Fingerprint {
+const wholeBit = 1
+
+// whole reports whether the key identifies a whole request.
+func (k Key) whole() bool { return k&wholeBit != 0 }
+
+// KeysOf returns the keys of a request's content: first that of its target, team
+// and body, which is the same when a caller sends it again, then those of the
+// prompt's parts that other requests may share.
+func KeysOf(target, team string, body []byte, sharedParts []string) []Key {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(target + "\x00" + team + "\x00") // writing to a hash never fails
 	_, _ = d.Write(body)
-	return Fingerprint(d.Sum64())
+	keys := []Key{Key(d.Sum64() | wholeBit)}
+	for _, part := range sharedParts[:min(len(sharedParts), maxParts)] {
+		keys = append(keys, Key(xxhash.Sum64String(part)&^wholeBit))
+	}
+	return keys
+}
+
+// Run is a run of a request whose connection ended before its response did.
+type Run struct {
+	Upstream    string
+	Incarnation int64
+	Keys        []Key
+	// BeganAt is when the response began, or when the request was sent if it did
+	// not.
+	BeganAt time.Time
+	EndedAt time.Time
 }
 
-// Disconnect records that an incarnation of an upstream broke its connection
-// while it ran a request.
-type Disconnect struct {
-	Fingerprint Fingerprint `cbor:"1,keyasint"`
-	Upstream    string      `cbor:"2,keyasint"`
-	Incarnation int64       `cbor:"3,keyasint"`
-	// AgeMS is the time in milliseconds since the connection broke.
-	AgeMS int64 `cbor:"4,keyasint"`
+// crashID identifies a crash by the incarnation of the upstream that it ended.
+type crashID uint32
+
+func crashOf(upstream string, incarnation int64) crashID {
+	var d xxhash.Digest
+	d.ResetWithSeed(uint64(incarnation))
+	_, _ = d.WriteString(upstream) // writing to a hash never fails
+	return crashID(d.Sum64())      // the low half tells the crashes of an hour apart
 }
 
-type disconnectKey struct {
-	fingerprint Fingerprint
-	upstream    string
-	incarnation int64
+// mark records that content was running on an upstream that crashed.
+type mark struct {
+	crash     crashID
+	crashedAt time.Time
+	// ran is how long the response had been under way. It is kept in place of a
+	// time, because it is the same on all VMs.
+	ran time.Duration
+	// cleared is set once a request with the content has completed after the crash.
+	cleared bool
 }
 
-// Core holds the records of broken connections. It is not safe for concurrent
-// use.
+// suspect is content that was running on upstreams that crashed.
+type suspect struct {
+	marks []mark // by the time of the crash
+	// depth is the position of the part in prompts, the largest seen; zero for a
+	// whole request.
+	depth int
+	// count is the number of crashes one after the other that are not cleared.
+	count     int
+	blocked   bool
+	changedAt time.Time
+	sharedAt  time.Time
+}
+
+// lastCrash returns the time of the last crash.
+func (s *suspect) lastCrash() time.Time { return s.marks[len(s.marks)-1].crashedAt }
+
+// Core holds what is suspected. It is not safe for concurrent use.
 type Core struct {
-	disconnects map[disconnectKey]time.Time
+	vm       string
+	suspects map[Key]*suspect
+	runs     unconfirmedRuns
+	stale    bool // the judgement is older than the marks
 }
 
-// New returns a core without records.
-func New() *Core { return &Core{disconnects: make(map[disconnectKey]time.Time)} }
+// New returns a core that suspects nothing. The name of the VM makes the VMs end
+// the block of some content one after the other.
+func New(vm string) *Core {
+	return &Core{vm: vm, suspects: make(map[Key]*suspect), runs: newUnconfirmedRuns()}
+}
+
+// Broken records that an upstream broke the connection of a run. It reports whether
+// the caller should check now whether the upstream still accepts connections.
+func (c *Core) Broken(now time.Time, r Run) (check bool) { return c.addRun(now, r, false) }
+
+// Dropped records that this VM ended a run whose response had begun. An upstream
+// that crashes soon after may have crashed on it.
+func (c *Core) Dropped(now time.Time, r Run) { c.addRun(now, r, true) }
 
-// Add records a broken connection that this VM or another VM has seen. It ignores
-// the connection if maxDisconnects unexpired records are kept already.
-func (c *Core) Add(now time.Time, d Disconnect) {
-	k := disconnectKey{d.Fingerprint, d.Upstream, d.Incarnation}
-	at := now.Add(-time.Duration(d.AgeMS) * time.Millisecond)
-	if now.Sub(at) > disconnectTTL || c.disconnects[k].After(at) {
+func (c *Core) addRun(now time.Time, r Run, dropped bool) (check bool) {
+	id := crashOf(r.Upstream, r.Incarnation)
+	if crashedAt, ok := c.runs.crashes[id]; ok {
+		c.markRun(now, r, id, crashedAt, dropped)
+		return false
+	}
+	return c.runs.add(now, unconfirmedRun{Run: r, crash: id, dropped: dropped})
+}
+
+// Confirm records that an incarnation no longer accepts connections or is no
+// longer listed: the connections that it broke before were broken by a crash. It
+// returns the number of runs that were confirmed.
+func (c *Core) Confirm(now time.Time, upstream string, incarnation int64) int {
+	return c.confirm(now, crashOf(upstream, incarnation), now)
+}
+
+func (c *Core) confirm(now time.Time, id crashID, crashedAt time.Time) int {
+	runs := c.runs.take(id)
+	if len(runs) == 0 {
+		return 0
+	}
+	for _, r := range runs {
+		if !r.dropped && r.EndedAt.Before(crashedAt) {
+			crashedAt = r.EndedAt
+		}
+	}
+	c.runs.recordCrash(now, id, crashedAt)
+	for _, r := range runs {
+		c.markRun(now, r.Run, id, crashedAt, r.dropped)
+	}
+	return len(runs)
+}
+
+// ConfirmDelisted confirms the runs of incarnations that are no longer listed.
+func (c *Core) ConfirmDelisted(now time.Time, isListed func(upstream string, incarnation int64) bool) {
+	c.runs.expire(now)
+	for _, r := range c.runs.unlisted(isListed) {
+		c.Confirm(now, r.Upstream, r.Incarnation)
+	}
+}
+
+// markRun marks the content of a run. A run that this VM had dropped is marked only
+// if the upstream crashed soon after.
+func (c *Core) markRun(now time.Time, r Run, id crashID, crashedAt time.Time, dropped bool) {
+	if dropped && crashedAt.Sub(r.EndedAt) > maxCrashDelay {
 		return
 	}
-	if len(c.disconnects) >= maxDisconnects {
-		c.expire(now)
+	for depth, k := range r.Keys {
+		c.addMark(now, k, depth, mark{crash: id, crashedAt: crashedAt, ran: max(crashedAt.Sub(r.BeganAt), 0)})
+	}
+}
+
+// addMark adds a mark, or merges it with the known one of the same crash: VMs see a
+// crash at slightly different times, and the earliest counts everywhere.
+func (c *Core) addMark(now time.Time, k Key, depth int, m mark) {
+	s := c.suspects[k]
+	if s == nil {
+		if len(c.suspects) >= maxSuspects {
+			c.evict(now)
+		}
+		s = &suspect{}
+		c.suspects[k] = s
 	}
-	if len(c.disconnects) < maxDisconnects {
-		c.disconnects[k] = at
+	s.depth = max(s.depth, depth)
+	if s.merge(m) {
+		s.changedAt, c.stale = now, true
 	}
 }
 
-func (c *Core) expire(now time.Time) {
-	for k, at := range c.disconnects {
-		if now.Sub(at) > disconnectTTL {
-			delete(c.disconnects, k)
+// Completed records that a request with this content completed: it does not crash
+// upstreams.
+func (c *Core) Completed(now time.Time, keys []Key) {
+	for _, k := range keys {
+		s := c.suspects[k]
+		if s == nil {
+			continue
+		}
+		for i := range s.marks {
+			if !s.marks[i].cleared {
+				s.marks[i].cleared = true
+				s.changedAt, c.stale = now, true
+			}
 		}
 	}
 }
 
-// Blocked reports whether a request must not be sent any more. A broken
-// connection counts as a crash only if the incarnation is no longer in the list of
-// upstreams, because connections to healthy upstreams also break.
-func (c *Core) Blocked(now time.Time, f Fingerprint, isListed func(upstream string, incarnation int64) bool) bool {
-	crashes := 0
-	for k, at := range c.disconnects {
-		if k.fingerprint == f && now.Sub(at) <= disconnectTTL && !isListed(k.upstream, k.incarnation) {
-			crashes++
+// Blocked reports whether a request with this content must not be sent, and for how
+// long.
+func (c *Core) Blocked(now time.Time, keys []Key) (time.Duration, bool) {
+	if len(c.suspects) == 0 {
+		return 0, false
+	}
+	c.judge(now)
+	var left time.Duration
+	for _, k := range keys {
+		if s := c.suspects[k]; s != nil && s.blocked {
+			left = max(left, s.lastCrash().Add(c.blockTime(k, s)).Sub(now))
 		}
 	}
-	return crashes >= crashThreshold
+	return left, left > 0
 }
 
-// Recent returns the most recent records for other VMs, newest first.
-func (c *Core) Recent(now time.Time) []Disconnect {
-	c.expire(now)
-	out := make([]Disconnect, 0, len(c.disconnects))
-	for k, at := range c.disconnects {
-		out = append(out, Disconnect{Fingerprint: k.fingerprint, Upstream: k.upstream, Incarnation: k.incarnation, AgeMS: now.Sub(at).Milliseconds()})
+// blockTime returns how long content is blocked after its last crash. It differs
+// from VM to VM, so that a few requests show whether the content is still harmful
+// before all VMs send it.
+func (c *Core) blockTime(k Key, s *suspect) time.Duration {
+	var d xxhash.Digest
+	d.ResetWithSeed(uint64(k))
+	_, _ = d.WriteString(c.vm)
+	spread := time.Duration(d.Sum64() % uint64(minBlockTime))
+	return time.Duration(s.count-minCrashes+1)*minBlockTime + spread
+}
+
+// BlockedCount returns the number of contents that have crashed enough upstreams to
+// be blocked.
+func (c *Core) BlockedCount(now time.Time) int {
+	c.judge(now)
+	n := 0
+	for _, s := range c.suspects {
+		if s.blocked {
+			n++
+		}
 	}
-	slices.SortFunc(out, func(a, b Disconnect) int { return int(a.AgeMS - b.AgeMS) })
-	return out[:min(len(out), maxRecent)]
+	return n
 }
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -10,49 +10,192 @@
 
 var begin = time.Now()
 
-func notListed(string, int64) bool { return false }
-func listed(string, int64) bool    { return true }
+// at returns a time in milliseconds after begin.
+func at(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
 
-func newDisconnect(f Fingerprint, i int) Disconnect {
-	return Disconnect{Fingerprint: f, Upstream: fmt.Sprintf("u%d", i), Incarnation: 1}
+// crash crashes an upstream under runs that began at a time, each with some keys.
+func crash(c *Core, ms, beganMS int, upstream string, runs ...[]Key) {
+	for _, keys := range runs {
+		c.Broken(at(ms), Run{Upstream: upstream, Incarnation: 1, Keys: keys, BeganAt: at(beganMS), EndedAt: at(ms)})
+	}
+	c.Confirm(at(ms+1), upstream, 1)
+}
+
+func blocked(c *Core, ms int, keys ...Key) bool {
+	_, is := c.Blocked(at(ms), keys)
+	return is
+}
+
+func TestKeysOf(t *testing.T) {
+	a, b := KeysOf("/a", "team", []byte("x"), []string{"p", "q"}), KeysOf("/a", "team", []byte("y"), []string{"p", "r"})
+	assert.Len(t, a, 3)
+	assert.True(t, a[0].whole())
+	assert.NotEqual(t, a[0], b[0])
+	assert.Equal(t, a[1], b[1])
+	assert.NotEqual(t, a[2], b[2])
+	assert.Equal(t, a, KeysOf("/a", "team", []byte("x"), []string{"p", "q"}))
+	assert.Len(t, KeysOf("/a", "team", nil, make([]string, 100)), 1+maxParts)
 }
 
+const (
+	deadly Key = 2
+	sound  Key = 4
+	shared Key = 6
+	whole  Key = 9
+)
+
 func TestBlocked(t *testing.T) {
-	c := New()
-	f, other := FingerprintOf("/a", "team", []byte("x")), FingerprintOf("/a", "team", []byte("y"))
-	assert.NotEqual(t, f, other)
-	for i := range crashThreshold {
-		assert.False(t, c.Blocked(begin, f, notListed))
-		c.Add(begin, newDisconnect(f, i))
-		c.Add(begin, newDisconnect(f, i)) // a duplicate
+	c := New("vm")
+	for i := range minCrashes {
+		assert.False(t, blocked(c, 1000*i, whole))
+		crash(c, 1000*i+100, 1000*i+50, fmt.Sprint(i), []Key{whole})
+	}
+	assert.True(t, blocked(c, 3000, whole))
+	assert.True(t, blocked(c, 3000, sound, whole))
+	assert.False(t, blocked(c, 3000, sound))
+	assert.Equal(t, 1, c.BlockedCount(at(3000)))
+	assert.False(t, blocked(c, 3000+3*60_000, whole), "it is tried again")
+	crash(c, 200_000, 199_900, "again", []Key{whole})
+	assert.True(t, blocked(c, 200_001, whole), "one more crash suffices")
+	left, _ := c.Blocked(at(200_001), []Key{whole})
+	assert.Greater(t, left, 2*minBlockTime-time.Second)
+}
+
+func TestOnlyCrashesCount(t *testing.T) {
+	c := New("vm")
+	for i := range 2 * minCrashes {
+		run := Run{Upstream: fmt.Sprint(i), Incarnation: 1, Keys: []Key{whole}, BeganAt: at(1000 * i), EndedAt: at(1000*i + 10)}
+		assert.True(t, c.Broken(at(1000*i+10), run))
+		assert.False(t, c.Broken(at(1000*i+10), run), "one check is enough")
+	}
+	assert.False(t, blocked(c, 6000, whole), "connections to healthy upstreams break, too")
+	c.ConfirmDelisted(at(6000), func(upstream string, _ int64) bool { return upstream > "2" })
+	assert.True(t, blocked(c, 6000, whole))
+}
+
+// Guards against sound content that is blocked because it was running on several
+// upstreams that were lost together.
+func TestLossOfSeveralUpstreamsBlocksNothing(t *testing.T) {
+	c := New("vm")
+	for i := range 2 * minCrashes {
+		crash(c, 100+i, 50, fmt.Sprint(i), []Key{sound})
+	}
+	assert.False(t, blocked(c, 200, sound))
+}
+
+func TestCompletedRequestClears(t *testing.T) {
+	c := New("vm")
+	for i := range 2 * minCrashes {
+		crash(c, 1000*i+100, 1000*i+50, fmt.Sprint(i), []Key{shared, deadly})
+		c.Completed(at(1000*i+200), []Key{shared, sound})
 	}
-	assert.True(t, c.Blocked(begin, f, notListed))
-	assert.False(t, c.Blocked(begin, other, notListed))
-	assert.False(t, c.Blocked(begin, f, listed), "a listed upstream has not crashed")
-	assert.False(t, c.Blocked(begin.Add(disconnectTTL+time.Second), f, notListed))
+	assert.True(t, blocked(c, 6000, deadly))
+	assert.False(t, blocked(c, 6000, shared))
 }
 
-func TestDisconnectsAreRelayed(t *testing.T) {
-	a, b := New(), New()
-	f := FingerprintOf("/a", "team", nil)
-	for i := range crashThreshold {
-		a.Add(begin.Add(-time.Duration(i)*time.Second), newDisconnect(f, i))
+// Guards against sound content that stays blocked because it was running wherever
+// the deadly content was.
+func TestExplainedCrashesDoNotCount(t *testing.T) {
+	c := New("vm")
+	for i := range minCrashes {
+		crash(c, 1000*i+100, 1000*i+50, fmt.Sprint(i), []Key{deadly}, []Key{sound})
 	}
-	for _, d := range a.Recent(begin) {
-		b.Add(begin, d)
+	assert.True(t, blocked(c, 3000, deadly) != blocked(c, 3000, sound), "one of them explains all crashes")
+	crash(c, 3100, 3050, "last", []Key{deadly})
+	assert.True(t, blocked(c, 4000, deadly))
+	assert.False(t, blocked(c, 4000, sound))
+}
+
+// Guards against sound prompts that are refused for their first part.
+func TestDeeperPartIsBlocked(t *testing.T) {
+	for _, keys := range [][]Key{{9, 4, 2}, {9, 2, 4}} {
+		c := New("vm")
+		for i := range minCrashes + 1 {
+			keys[0] += 2 // no two requests are alike
+			crash(c, 1000*i+100, 1000*i+50, fmt.Sprint(i), keys)
+		}
+		assert.False(t, blocked(c, 4000, keys[1]))
+		assert.True(t, blocked(c, 4000, keys[2]))
+	}
+}
+
+func TestTwoDeadlyParts(t *testing.T) {
+	c := New("vm")
+	for i := range minCrashes {
+		crash(c, 1000*i+100, 1000*i+50, fmt.Sprint("a", i), []Key{deadly}, []Key{sound})
+		crash(c, 1000*i+600, 1000*i+550, fmt.Sprint("b", i), []Key{shared})
+	}
+	crash(c, 4000, 3900, "c", []Key{deadly})
+	assert.True(t, blocked(c, 5000, deadly))
+	assert.True(t, blocked(c, 5000, shared))
+	assert.False(t, blocked(c, 5000, sound))
+}
+
+// Guards against a deadly request that is never noticed, because this VM drops its
+// answers just before the crashes.
+func TestCrashAfterDroppedRun(t *testing.T) {
+	c := New("vm")
+	for i := range minCrashes {
+		upstream := fmt.Sprint(i)
+		c.Dropped(at(1000*i+50), Run{Upstream: upstream, Incarnation: 1, Keys: []Key{deadly}, BeganAt: at(1000*i + 40), EndedAt: at(1000*i + 50)})
+		c.Dropped(at(1000*i), Run{Upstream: "healthy", Incarnation: 1, Keys: []Key{shared}, BeganAt: at(1000 * i), EndedAt: at(1000 * i)})
+		crash(c, 1000*i+100, 1000*i+30, upstream, []Key{Key(100 + 2*i)})
 	}
-	assert.True(t, b.Blocked(begin, f, notListed))
-	for _, d := range b.Recent(begin.Add(50 * time.Second)) {
-		a.Add(begin.Add(50*time.Second), d)
+	assert.True(t, blocked(c, 3000, deadly))
+	assert.False(t, blocked(c, 3000, shared))
+}
+
+func TestSuspectsAreRelayed(t *testing.T) {
+	a, b := New("a"), New("b")
+	for i := range minCrashes {
+		crash(a, 1000*i+100, 1000*i+50, fmt.Sprint(i), []Key{deadly})
+	}
+	b.Merge(at(3000), a.Share(at(3000)))
+	assert.True(t, blocked(b, 3000, deadly))
+	left, _ := b.Blocked(at(3000), []Key{deadly})
+	for range 10 { // each exchange takes 20 ms
+		a.Merge(at(3020), b.Share(at(3000)))
+		b.Merge(at(3040), a.Share(at(3020)))
+	}
+	again, _ := b.Blocked(at(3000), []Key{deadly})
+	assert.LessOrEqual(t, again, left, "relaying does not extend the block")
+	b.Completed(at(3100), []Key{deadly})
+	a.Merge(at(3200), b.Share(at(3200)))
+	assert.False(t, blocked(a, 3200, deadly))
+	a.Merge(at(3300), New("c").Share(at(3300)))
+	assert.False(t, blocked(a, 3300, deadly))
+}
+
+func TestCrashKnownFromAnotherVMConfirmsOwnRuns(t *testing.T) {
+	a, b := New("a"), New("b")
+	for i := range minCrashes {
+		run := Run{Upstream: fmt.Sprint(i), Incarnation: 1, Keys: []Key{deadly}, BeganAt: at(1000*i + 50), EndedAt: at(1000*i + 100)}
+		a.Broken(at(1000*i+100), run)
+		crash(b, 1000*i+100, 1000*i, fmt.Sprint(i), []Key{Key(100 + 2*i)})
+		a.Merge(at(1000*i+200), b.Share(at(1000*i+200)))
 	}
-	assert.False(t, a.Blocked(begin.Add(disconnectTTL+3*time.Second), f, notListed), "relaying does not extend the TTL")
+	assert.True(t, blocked(a, 3000, deadly))
 }
 
-func TestDisconnectsAreBounded(t *testing.T) {
-	c := New()
-	for i := range 3 * maxDisconnects {
-		c.Add(begin, newDisconnect(Fingerprint(i), i))
+func TestRecordsAreBounded(t *testing.T) {
+	c := New("vm")
+	for i := range minCrashes {
+		crash(c, 1000*i+100, 1000*i+50, fmt.Sprint(i), []Key{deadly})
+	}
+	for i := range 3 * maxSuspects {
+		crash(c, 5000+i, 5000+i, fmt.Sprint("u", i), []Key{Key(1000 + 2*i)})
+		c.Dropped(at(5000+i), Run{Upstream: "x", Keys: []Key{sound}, EndedAt: at(5000 + i)})
+	}
+	assert.LessOrEqual(t, len(c.suspects), maxSuspects)
+	assert.LessOrEqual(t, len(c.runs.list), maxUnconfirmedRuns)
+	assert.LessOrEqual(t, len(c.Share(at(8000))), maxSharedSuspects)
+	assert.True(t, blocked(c, 8000, deadly), "the worst is kept")
+	for i := range 3 * maxMarks {
+		crash(c, 9000+1000*i, 8990+1000*i, fmt.Sprint("v", i), []Key{deadly})
 	}
-	assert.LessOrEqual(t, len(c.disconnects), maxDisconnects)
-	assert.LessOrEqual(t, len(c.Recent(begin)), maxRecent)
+	assert.LessOrEqual(t, len(c.suspects[deadly].marks), maxMarks)
+	c.judge(at(10_000_000))
+	c.stale = true
+	c.judge(at(10_000_000))
+	assert.Empty(t, c.suspects)
 }
--- /dev/null
+++ b/internal/poison/runs.go
@@ -0,0 +1,92 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxConfirmTime is how long after a connection broke the upstream's end still
+	// counts as the cause. An entry is removed after a few missed heartbeats.
+	maxConfirmTime = 15 * time.Second
+	// maxCrashDelay is how long after a run was dropped the upstream's crash may
+	// still be due to it.
+	maxCrashDelay = time.Second
+	// minCheckInterval is the minimum time between checks of one upstream.
+	minCheckInterval = time.Second
+	// maxUnconfirmedRuns limits the runs that are kept.
+	maxUnconfirmedRuns = 512
+)
+
+// unconfirmedRun is a run that ended early, maybe because the upstream crashed.
+type unconfirmedRun struct {
+	Run
+	crash   crashID
+	dropped bool // this VM ended the run
+}
+
+// unconfirmedRuns holds the runs of this VM that ended early, and the crashes that
+// are known.
+type unconfirmedRuns struct {
+	list      []unconfirmedRun
+	crashes   map[crashID]time.Time
+	checkedAt map[crashID]time.Time
+}
+
+func newUnconfirmedRuns() unconfirmedRuns {
+	return unconfirmedRuns{crashes: make(map[crashID]time.Time), checkedAt: make(map[crashID]time.Time)}
+}
+
+// add records a run and reports whether its upstream should be checked.
+func (u *unconfirmedRuns) add(now time.Time, r unconfirmedRun) (check bool) {
+	u.expire(now)
+	if len(u.list) >= maxUnconfirmedRuns {
+		u.list = slices.Delete(u.list, 0, 1) // the oldest
+	}
+	u.list = append(u.list, r)
+	if r.dropped || now.Sub(u.checkedAt[r.crash]) < minCheckInterval {
+		return false
+	}
+	u.checkedAt[r.crash] = now
+	return true
+}
+
+// take removes and returns the runs on an incarnation.
+func (u *unconfirmedRuns) take(id crashID) []unconfirmedRun {
+	var taken []unconfirmedRun
+	u.list = slices.DeleteFunc(u.list, func(r unconfirmedRun) bool {
+		if r.crash == id {
+			taken = append(taken, r)
+		}
+		return r.crash == id
+	})
+	return taken
+}
+
+// unlisted returns a run for each incarnation that broke a connection and is no
+// longer listed.
+func (u *unconfirmedRuns) unlisted(isListed func(upstream string, incarnation int64) bool) []unconfirmedRun {
+	var out []unconfirmedRun
+	for _, r := range u.list {
+		if !r.dropped && !isListed(r.Upstream, r.Incarnation) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (u *unconfirmedRuns) recordCrash(now time.Time, id crashID, crashedAt time.Time) {
+	u.expire(now)
+	u.crashes[id] = crashedAt
+}
+
+func (u *unconfirmedRuns) expire(now time.Time) {
+	u.list = slices.DeleteFunc(u.list, func(r unconfirmedRun) bool { return now.Sub(r.EndedAt) > maxConfirmTime })
+	for _, times := range []map[crashID]time.Time{u.crashes, u.checkedAt} {
+		for id, at := range times {
+			if now.Sub(at) > maxConfirmTime {
+				delete(times, id)
+			}
+		}
+	}
+}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -44,6 +44,7 @@
 	// UpstreamInvalid: an upstream's entry in the object store cannot be decoded or is
 	// incomplete.
 	UpstreamInvalid Code = 1109
+	ContentBlocked  Code = 1110
 )
 
 // Codes of claims and delivery (1200 to 1299).
@@ -148,6 +149,7 @@
 	Draining:         {"draining", http.StatusServiceUnavailable, NotRun, time.Second},
 	NotReady:         {"not_ready", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
 	UpstreamInvalid:  {"upstream_invalid", http.StatusServiceUnavailable, NotRun, 0},
+	ContentBlocked:   {"content_blocked", http.StatusServiceUnavailable, NotRun, time.Minute},
 
 	ClaimUnavailable: {"claim_unavailable", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
 	RunUnknown:       {"run_unknown", http.StatusConflict, Unknown, 0},
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -16,6 +16,7 @@
 	DeadlineTooClose   Decision = "no_time"
 	CallerCanceled     Decision = "caller_gone"
 	BudgetExhausted    Decision = "over_budget"
+	ContentBlocked     Decision = "crashes_upstreams"
 )
 
 const (
