--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -43,8 +43,8 @@
 	disconnected bool
 	// framing is how the response marks the end of its body; empty without one.
 	framing framing
-	// hasEvents is true once an event of a stream was forwarded.
-	hasEvents bool
+	// pace is that of the events of a stream.
+	pace pace
 	// bodyRead is true once the body has been read to its end.
 	bodyRead bool
 	// leftover is the number of bytes after the last complete event at the end of
@@ -56,6 +56,38 @@
 	released bool
 }
 
+// pace records when the events of a stream arrived.
+type pace struct {
+	events           int
+	firstAt, lastAt  time.Time
+	eventsAfterFirst int
+}
+
+func (p *pace) record(now time.Time, events int) {
+	if events == 0 {
+		return
+	}
+	if p.events == 0 {
+		p.firstAt = now
+	} else {
+		p.eventsAfterFirst += events
+	}
+	p.events += events
+	p.lastAt = now
+}
+
+// minPacedEvents is the number of events after the first ones from which on a pace
+// is meaningful.
+const minPacedEvents = 3
+
+// interval returns the mean time between events, or zero if there are too few.
+func (p *pace) interval() time.Duration {
+	if p.eventsAfterFirst < minPacedEvents {
+		return 0
+	}
+	return p.lastAt.Sub(p.firstAt) / time.Duration(p.eventsAfterFirst)
+}
+
 // framing is how a response marks the end of its body.
 type framing string
 
@@ -224,5 +256,5 @@
 		"model", a.model, "why", a.state.versionReason, "cost", int(a.pick.Cost), "candidates", a.pick.EligibleCount,
 		"uncached", a.pick.UncachedTokens, "expect", a.pick.ExpectedLatency.Milliseconds(), "firstByte", a.timeToHead.Milliseconds(),
 		"took", time.Since(a.startedAt).Milliseconds(), "fate", a.attemptStatus, "status", status, "confidence", confidence,
-		"framing", a.framing, "leftover", a.leftover, "end", upstreamOutcome, "err", logs.Err(a.err))
+		"events", a.pace.events, "interval", a.pace.interval().Milliseconds(), "framing", a.framing, "leftover", a.leftover, "end", upstreamOutcome, "err", logs.Err(a.err))
 }
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -67,7 +67,7 @@
 
 // completed reports whether the attempt got a complete successful response.
 func (a *attempt) completed() bool {
-	return a.bodyRead && a.err == nil && a.head.Status == http.StatusOK && (a.hasEvents || !a.state.req.Route.Stream)
+	return a.bodyRead && a.err == nil && a.head.Status == http.StatusOK && (a.pace.events > 0 || !a.state.req.Route.Stream)
 }
 
 // recordDisconnect records that an upstream broke the connection under a request,
--- a/internal/edge/sse.go
+++ b/internal/edge/sse.go
@@ -39,8 +39,9 @@
 	bytes []byte
 	// lastID is the last event ID among them, if any.
 	lastID string
-	// hasData is false if all of them are comments or empty.
-	hasData bool
+	// count is the number of events that carry data, not comments or empty ones; an
+	// event with several lines of data counts several times.
+	count int
 }
 
 // next returns the next complete events, at least one. At the end of the stream it
@@ -66,7 +67,7 @@
 
 // checkProgress returns errNoProgress after too many bytes without data.
 func (r *eventReader) checkProgress(e streamEvents) error {
-	if e.hasData {
+	if e.count > 0 {
 		r.idleBytes = 0
 		return nil
 	}
@@ -83,7 +84,9 @@
 		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.lastID = string(bytes.TrimSpace(rest))
 		}
-		e.hasData = e.hasData || bytes.HasPrefix(line, []byte("data:"))
+		if bytes.HasPrefix(line, []byte("data:")) {
+			e.count++
+		}
 	}
 	return e
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -147,7 +147,7 @@
 	reader := newEventReader(a.body)
 	for {
 		events, err := reader.next()
-		if stallTimer != nil && events.hasData {
+		if stallTimer != nil && events.count > 0 {
 			stallTimer.Reset(stallTimeout)
 		}
 		if errors.Is(err, io.EOF) {
@@ -164,7 +164,7 @@
 		if !st.write(events.bytes) {
 			return streamDone
 		}
-		a.hasEvents = true
+		a.pace.record(time.Now(), events.count)
 		if events.lastID != "" {
 			st.resumeAfter = events.lastID
 		}
@@ -204,7 +204,7 @@
 		a.recordTruncation(errEndInsideEvent)
 		return streamBroken
 	}
-	if a.framing == framedByClose && !a.hasEvents && st.resumeAfter == "" {
+	if a.framing == framedByClose && a.pace.events == 0 && st.resumeAfter == "" {
 		a.recordTruncation(errNoEvents)
 		return streamBroken
 	}
