--- /dev/null
+++ b/internal/edge/rollout_test.go
@@ -0,0 +1,74 @@
+package edge_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// rollOutDuration is that of the roll-outs in these tests.
+const rollOutDuration = 8 * time.Second
+
+// rollOut rolls out a version whose events come at some interval, under steady load,
+// and returns the state that the VMs wrote, and the share of the requests that
+// reached the version.
+func rollOut(t *testing.T, interval time.Duration) (state string, share float64) {
+	const oldInterval = 12 * time.Millisecond
+	s := newSite(t)
+	s.configure(routes(), key)
+	start := func(id, version string, interval time.Duration) {
+		p, _ := s.listenReplica(id)
+		p.EventInterval = interval
+		s.putEntry(id, engine, s.addresses[id], map[string]any{"version": version})
+	}
+	for i := range 3 {
+		start(fmt.Sprint("e-old", i), "v1", oldInterval)
+	}
+	s.startVM("vm-1")
+	var load sync.WaitGroup
+	end := time.Now().Add(rollOutDuration + 2*time.Second)
+	for caller := range 8 {
+		load.Go(func() {
+			for i := 0; time.Now().Before(end); i++ {
+				c := chat(fmt.Sprint(caller, "-", i))
+				c.header["Session"] = c.id
+				s.do(c)
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	for i := range 3 {
+		start(fmt.Sprint("e-new", i), "v2", interval)
+	}
+	s.store.Put("rollouts", engine, map[string]any{"service": engine, "target": "v2", "durationS": rollOutDuration.Seconds()})
+	load.Wait()
+	all, onNew := 0, 0
+	for id, p := range s.replicas {
+		all += p.RequestCount()
+		if strings.HasPrefix(id, "e-new") {
+			onNew += p.RequestCount()
+		}
+	}
+	o, ok := s.store.Get("rollouts", engine)
+	require.True(t, ok)
+	return fmt.Sprintf("%s", o.Status), float64(onNew) / float64(all)
+}
+
+// Guards against a version that is several times slower, only in the events after
+// the first, and is completed and kept.
+func TestSlowVersionIsCompleted(t *testing.T) {
+	state, share := rollOut(t, 60*time.Millisecond)
+	assert.Contains(t, state, "reverted")
+	assert.Less(t, share, 0.15)
+}
+
+func TestGoodVersionIsCompleted(t *testing.T) {
+	state, _ := rollOut(t, 12*time.Millisecond)
+	assert.Contains(t, state, "completed")
+}
