canary: A new version is compared by the pace of its events, too

Cause: the verdict compared failures and the time to the first byte, against an expectation that learns from the slow upstream itself; attempts that got no head in time did not count at all; and 4 attempts of a trial are no sample. Class: a comparison that leaves out the cases which are worst. Change: the pace (time per event of a stream, per call of a plain service) is compared with the fastest tenth of the versions in use, per model: above 2.5 times it an attempt is slow, and the share of slow ones on the old version is the measure, while both have load. A version somewhat slower shows in that none of its attempts is as fast as an idle upstream's (1.5 times), at no more than the usual load, from twelve attempts on. Late attempts without a head count as bad on both versions.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -41,20 +41,22 @@
 	// there.
 	trialEnd = 0.52
 	// rampEnd is when all sessions use the new version.
-	rampEnd = 0.62
+	rampEnd = 0.66
 	// forcedCompletion is when a good version is reported as completed even if
 	// requests still run on the old version.
 	forcedCompletion = 0.88
 	// trialExposureShare is the share of maxExposure, the largest share of requests
 	// that a bad version may receive, that the trial uses.
-	trialExposureShare = 0.55
+	trialExposureShare = 0.66
 	// sessionExchangeWindow is the time after the start in which all sessions use
 	// the old version. Meanwhile the VMs report to each other which of the sessions
 	// that the trial would move already use the old version.
 	sessionExchangeWindow = 2500 * time.Millisecond
-	// completionDelay is how long after the ramp a roll-out may be completed at the
-	// earliest, so that all VMs have finished the ramp.
-	completionDelay = 1500 * time.Millisecond
+	// completionDelayShare, a share of the duration, and maxCompletionDelay are how
+	// long after the ramp a roll-out may be completed at the earliest, so that all
+	// VMs have finished the ramp and know how the new version bears the load.
+	completionDelayShare = 0.2
+	maxCompletionDelay   = 2500 * time.Millisecond
 )
 
 // Tally counts outcomes of attempts on one version of a route.
@@ -64,7 +66,8 @@
 	Bad uint32 `cbor:"2,keyasint"`
 }
 
-// Counters are one VM's outcomes by route, on the new version and on the others.
+// Counters are one VM's outcomes by route, and slow attempts by work, on the new
+// version and on the others.
 type Counters struct {
 	New map[string]Tally `cbor:"1,keyasint"`
 	Old map[string]Tally `cbor:"2,keyasint"`
@@ -94,6 +97,7 @@
 	rollOuts       map[string]*rollOutState
 	stableVersions map[string]map[string]bool
 	sessions       *sessions
+	references     map[string]*reference // by service and work
 	// replacedTargets holds, by service, the targets of earlier roll-outs.
 	replacedTargets map[string]map[string]bool
 	// restoredUntil is the end of the time after StoreRestored in which roll-outs to
@@ -112,6 +116,7 @@
 	return &Core{
 		incarnation: incarnation, maxExposure: maxExposure, rollOuts: make(map[string]*rollOutState),
 		stableVersions: make(map[string]map[string]bool), sessions: newSessions(sessionTTL),
+		references:      make(map[string]*reference),
 		replacedTargets: make(map[string]map[string]bool),
 	}
 }
@@ -296,18 +301,12 @@
 		return
 	}
 	own := r.countersByIncarnation[c.incarnation]
-	tallies := own.New
-	if o.Version != r.rollOut.NewVersion {
+	isNew := o.Version == r.rollOut.NewVersion
+	if !isNew {
 		own.OldRunning = max(own.OldRunning-1, 0)
-		tallies = own.Old
 	}
 	if o.Conclusive {
-		t := tallies[o.Route]
-		t.Total++
-		if o.Bad {
-			t.Bad++
-		}
-		tallies[o.Route] = t
+		own.add(isNew, o.Route, o.Bad)
 	}
 	r.countersByIncarnation[c.incarnation] = own
 }
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -149,7 +149,7 @@
 		{"twice as bad while much fails", Tally{Total: 20, Bad: 16}, Tally{Total: 200, Bad: 80}, true},
 		{"somewhat worse while much fails", Tally{Total: 20, Bad: 9}, Tally{Total: 200, Bad: 70}, false},
 	} {
-		t.Run(tt.name, func(t *testing.T) { assert.Equal(t, tt.expected, isWorse(tt.newSide, tt.oldSide)) })
+		t.Run(tt.name, func(t *testing.T) { assert.Equal(t, tt.expected, isWorse(tt.newSide, tt.oldSide, minBadOutcomes)) })
 	}
 }
 
--- /dev/null
+++ b/internal/canary/pace.go
@@ -0,0 +1,140 @@
+package canary
+
+import "time"
+
+const (
+	// slowPaceFactor: an attempt is slow if its pace is more than this multiple of the
+	// fastest tenth on the versions in use. Many are at busy times; the share of
+	// slow attempts on the old version is the measure.
+	slowPaceFactor = 2.5
+	// unhurriedPaceFactor is the multiple up to which a pace is that of an upstream
+	// with nothing else to do. At no more than the usual load some attempts always
+	// have it; a version on which none has is slow.
+	unhurriedPaceFactor = 1.5
+	// minUnhurriedOutcomes is the number of attempts above unhurriedPaceFactor below
+	// which a version is not judged by them.
+	minUnhurriedOutcomes = 12
+	// fasterStep and slowerStep are the shares by which a faster and a slower pace move
+	// the estimate. With their ratio it stays where a tenth are faster.
+	fasterStep = 0.09
+	slowerStep = 0.01
+	// minPaces is the number of paces on the versions in use that make an estimate;
+	// until then it is the fastest.
+	minPaces = 5
+	// maxReferences limits the kinds of work with an estimate.
+	maxReferences = 64
+)
+
+// paceKeyPrefix begins the keys of tallies that count attempts by their pace, and
+// unhurriedKeyPrefix of these the ones that count attempts above
+// unhurriedPaceFactor. Names of routes never begin with them.
+const (
+	paceKeyPrefix      = "\x00"
+	unhurriedKeyPrefix = paceKeyPrefix + "\x00"
+)
+
+// Pace is how fast an upstream worked on an attempt, in time per unit of work: per
+// event of a stream, or per call.
+type Pace struct {
+	Service string
+	Version string
+	// Work is the kind of work whose paces are comparable: a model, or a route of a
+	// plain service.
+	Work    string
+	PerUnit time.Duration
+	// Running is the number of requests that the upstream was running, or
+	// UnknownRunning.
+	Running int
+}
+
+// UnknownRunning is the load of an upstream that did not report it.
+const UnknownRunning = -1
+
+// reference is what is known of the paces of some work on the versions in use.
+type reference struct {
+	perUnit float64 // estimate of the fastest tenth, in seconds
+	running float64 // estimate of the median load
+	samples int
+}
+
+// runningStep is the step, in requests, by which a load moves the estimate of the
+// median.
+const runningStep = 0.2
+
+func (r *reference) add(p Pace) {
+	r.addPace(p.PerUnit.Seconds())
+	switch running := float64(p.Running); {
+	case p.Running == UnknownRunning:
+	case running > r.running:
+		r.running += runningStep
+	default:
+		r.running = max(r.running-runningStep, 0)
+	}
+}
+
+func (r *reference) addPace(perUnit float64) {
+	r.samples++
+	switch {
+	case r.samples == 1:
+		r.perUnit = perUnit
+	case r.samples <= minPaces:
+		r.perUnit = min(r.perUnit, perUnit)
+	case perUnit < r.perUnit:
+		r.perUnit *= 1 - fasterStep
+	default:
+		r.perUnit *= 1 + slowerStep
+	}
+}
+
+// RecordPace learns from the paces on the versions in use, and counts attempts on
+// both versions by their pace. Slow ones count while sessions move to the new
+// version only: afterwards the old one has no load that could be compared.
+func (c *Core) RecordPace(now time.Time, p Pace) {
+	if p.PerUnit <= 0 {
+		return
+	}
+	r := c.rollOuts[p.Service]
+	rolling := r != nil && r.rollOut.Phase == InProgress
+	isNew := rolling && p.Version == r.rollOut.NewVersion
+	ref := c.reference(p.Service + "/" + p.Work)
+	if ref == nil {
+		return
+	}
+	if rolling && ref.samples >= minPaces {
+		own := r.countersByIncarnation[c.incarnation]
+		multiple := p.PerUnit.Seconds() / ref.perUnit
+		if p.Running != UnknownRunning && float64(p.Running) <= ref.running {
+			own.add(isNew, unhurriedKeyPrefix+p.Work, multiple > unhurriedPaceFactor)
+		}
+		if r.progress(now) < rampEnd {
+			own.add(isNew, paceKeyPrefix+p.Work, multiple > slowPaceFactor)
+		}
+	}
+	if !isNew {
+		ref.add(p)
+	}
+}
+
+// reference returns the estimate for some work, or nil if there are too many.
+func (c *Core) reference(key string) *reference {
+	ref := c.references[key]
+	if ref == nil && len(c.references) < maxReferences {
+		ref = &reference{}
+		c.references[key] = ref
+	}
+	return ref
+}
+
+// add counts an outcome on the new version or on the others.
+func (c Counters) add(isNew bool, key string, bad bool) {
+	tallies := c.Old
+	if isNew {
+		tallies = c.New
+	}
+	t := tallies[key]
+	t.Total++
+	if bad {
+		t.Bad++
+	}
+	tallies[key] = t
+}
--- /dev/null
+++ b/internal/canary/pace_test.go
@@ -0,0 +1,89 @@
+package canary
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func recordPaces(c *Core, after time.Duration, version string, n int, perUnit func(i int) time.Duration) {
+	for i := range n {
+		c.RecordPace(at(after), Pace{Service: service, Version: version, Work: "model", PerUnit: perUnit(i), Running: i % 4})
+	}
+}
+
+func fixed(d time.Duration) func(int) time.Duration { return func(int) time.Duration { return d } }
+
+// busy returns paces as on loaded upstreams: a third is fast, a third is slow.
+func busy(i int) time.Duration {
+	return []time.Duration{20, 24, 45, 26, 50, 29, 60, 80, 100, 150}[i%10] * time.Millisecond
+}
+
+func isReverted(c *Core, after time.Duration) bool {
+	for _, v := range c.Tick(at(after)) {
+		if v.Phase == Reverted {
+			return true
+		}
+	}
+	return false
+}
+
+func TestSlowVersionIsJudgedByItsPace(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		after  time.Duration
+		pace   func(int) time.Duration
+		n      int
+		judged bool
+	}{
+		{"four times slower", 8 * time.Second, fixed(90 * time.Millisecond), 5, true},
+		{"idle and as fast", 8 * time.Second, fixed(20 * time.Millisecond), 50, false},
+		{"somewhat slower", 8 * time.Second, fixed(45 * time.Millisecond), 2 * minUnhurriedOutcomes, true},
+		{"somewhat slower, a few of them", 8 * time.Second, fixed(45 * time.Millisecond), 2*minUnhurriedOutcomes - 4, false},
+		{"as busy as the old version", 8 * time.Second, busy, 50, false},
+		{"too few", 8 * time.Second, fixed(90 * time.Millisecond), minBadOutcomes - 1, false},
+		{"after the ramp, as busy as before", 17 * time.Second, busy, 50, false},
+		{"after the ramp, somewhat slower", 17 * time.Second, fixed(45 * time.Millisecond), 50, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := New("vm-1", exposure, ttl)
+			recordPaces(c, -5*time.Second, oldVersion, 60, busy)
+			withRollOut(c)
+			recordPaces(c, 4*time.Second, oldVersion, 60, busy)
+			recordPaces(c, tt.after, newVersion, tt.n, tt.pace)
+			assert.Equal(t, tt.judged, isReverted(c, tt.after+100*time.Millisecond))
+		})
+	}
+}
+
+func TestPaceWithoutReferenceSaysNothing(t *testing.T) {
+	c := newWithRollOut("vm-1")
+	recordPaces(c, 8*time.Second, oldVersion, minPaces-1, fixed(time.Millisecond))
+	recordPaces(c, 8*time.Second, newVersion, 50, fixed(time.Second))
+	assert.False(t, isReverted(c, 9*time.Second))
+}
+
+func TestReferencesAreBounded(t *testing.T) {
+	c := New("vm-1", exposure, ttl)
+	for i := range 3 * maxReferences {
+		c.RecordPace(begin, Pace{Service: service, Version: oldVersion, Work: fmt.Sprint(i), PerUnit: time.Millisecond})
+	}
+	assert.Len(t, c.references, maxReferences)
+}
+
+// The estimate is near the fastest tenth, whatever the slow ones are.
+func TestReferenceIsTheFastestTenth(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var r reference
+	for range 500 {
+		sample := 0.02 + 0.01*rng.Float64()
+		if rng.IntN(2) == 0 {
+			sample *= 1 + 9*rng.Float64()
+		}
+		r.addPace(sample)
+	}
+	assert.InDelta(t, 0.024, r.perUnit, 0.006)
+}
--- a/internal/canary/report.go
+++ b/internal/canary/report.go
@@ -50,10 +50,13 @@
 // to the VM of its next request.
 const urgentPeriod = sessionExchangeWindow + 1500*time.Millisecond
 
-// IsUrgent reports whether the reports should be exchanged more often now.
+// IsUrgent reports whether the reports should be exchanged more often now: soon
+// after the start, and while sessions move to the new version, of which a bad one
+// must then be noticed soon.
 func (c *Core) IsUrgent(now time.Time) bool {
 	for _, r := range c.rollOuts {
-		if r.rollOut.Phase == InProgress && now.Sub(r.startedAt) < urgentPeriod {
+		progress := r.progress(now)
+		if r.rollOut.Phase == InProgress && (now.Sub(r.startedAt) < urgentPeriod || progress > trialEnd && progress < forcedCompletion) {
 			return true
 		}
 	}
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 )
 
@@ -35,7 +36,11 @@
 
 func addTallies(sum, part map[string]Tally) {
 	for route, t := range part {
-		for _, k := range []string{route, allRoutes} {
+		keys := []string{route, allRoutes}
+		if strings.HasPrefix(route, paceKeyPrefix) {
+			keys = keys[:1] // the attempt is in the sum already
+		}
+		for _, k := range keys {
 			s := sum[k]
 			s.Total += t.Total
 			s.Bad += t.Bad
@@ -44,9 +49,18 @@
 	}
 }
 
+// minBadFor returns the number of bad outcomes in a tally below which the new
+// version is not judged by it.
+func minBadFor(key string) uint32 {
+	if strings.HasPrefix(key, unhurriedKeyPrefix) {
+		return minUnhurriedOutcomes
+	}
+	return minBadOutcomes
+}
+
 // isWorse reports whether the new version is worse on a route than the old one.
-func isWorse(newTally, oldTally Tally) bool {
-	if newTally.Bad < minBadOutcomes {
+func isWorse(newTally, oldTally Tally, minBad uint32) bool {
+	if newTally.Bad < minBad {
 		return false
 	}
 	// One more good outcome on each side keeps small samples from being decisive.
@@ -63,8 +77,9 @@
 	New      Tally
 	Old      Tally
 	Progress float64
-	// Route is a route on which the new version is worse. It is empty for the sum
-	// over all routes, or if another VM judged the version as bad.
+	// Route is a route on which the new version is worse, or the work at which it is
+	// slow after a zero byte. It is empty for the sum over all routes, or if another VM
+	// judged the version as bad.
 	Route string
 }
 
@@ -83,7 +98,7 @@
 		newTallies, oldTallies, running := r.pooledTallies()
 		v := Verdict{RollOut: r.rollOut, New: newTallies[allRoutes], Old: oldTallies[allRoutes], Progress: r.progress(now)}
 		for route := range newTallies {
-			if isWorse(newTallies[route], oldTallies[route]) {
+			if isWorse(newTallies[route], oldTallies[route], minBadFor(route)) {
 				r.judgedBad = true
 				v.Route = route
 			}
@@ -103,6 +118,7 @@
 
 func (r *rollOutState) canComplete(now time.Time, oldRunning int) bool {
 	progress := r.progress(now)
-	rampDone := now.Sub(r.startedAt) > time.Duration(rampEnd*float64(r.rollOut.Duration))+completionDelay
+	delay := min(maxCompletionDelay, time.Duration(completionDelayShare*float64(r.rollOut.Duration)))
+	rampDone := now.Sub(r.startedAt) > time.Duration(rampEnd*float64(r.rollOut.Duration))+delay
 	return rampDone && (oldRunning == 0 || progress >= forcedCompletion)
 }
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -44,7 +44,8 @@
 	// framing is how the response marks the end of its body; empty without one.
 	framing framing
 	// pace is that of the events of a stream.
-	pace pace
+	pace         pace
+	paceRecorded bool
 	// bodyRead is true once the body has been read to its end.
 	bodyRead bool
 	// leftover is the number of bytes after the last complete event at the end of
@@ -80,6 +81,10 @@
 // is meaningful.
 const minPacedEvents = 3
 
+// pacedEvents is the number of events after the first ones at which the pace of a
+// stream is recorded.
+const pacedEvents = 6
+
 // interval returns the mean time between events, or zero if there are too few.
 func (p *pace) interval() time.Duration {
 	if p.eventsAfterFirst < minPacedEvents {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -110,11 +110,13 @@
 	now := time.Now()
 	x.proxy.fleet.Done(now, a.pick, upstreamOutcome)
 	// Only a response of the upstream itself says anything about its version.
-	conclusive := upstreamOutcome == fleet.OutcomeSuccess || (upstreamOutcome == fleet.OutcomeFailed && a.attemptStatus == exchange.Answered)
+	late := a.late(now)
+	conclusive := late || upstreamOutcome == fleet.OutcomeSuccess || (upstreamOutcome == fleet.OutcomeFailed && a.attemptStatus == exchange.Answered)
 	x.proxy.recordAttemptOutcome(canary.Outcome{
 		Service: x.req.Service.Name, Version: a.pick.Version, Route: x.req.Route.Name,
-		Conclusive: conclusive, Bad: conclusive && (upstreamOutcome == fleet.OutcomeFailed || a.late()),
+		Conclusive: conclusive, Bad: conclusive && (late || upstreamOutcome == fleet.OutcomeFailed),
 	})
+	a.recordPace(now)
 	x.proxy.recordCrashEvidence(now, a)
 	x.proxy.metrics.countAttempt(a)
 	a.log(upstreamOutcome)
@@ -129,9 +131,34 @@
 )
 
 // late reports whether the response's head came late enough to count against the
-// upstream's version.
-func (a *attempt) late() bool {
-	return a.timeToHead > max(lateThresholdFactor*a.pick.ExpectedLatency, minLateThreshold)
+// upstream's version, or has not come by now.
+func (a *attempt) late(now time.Time) bool {
+	took := a.timeToHead
+	if a.head == nil && a.attemptStatus == exchange.Unknown && !a.disconnected {
+		took = now.Sub(a.startedAt)
+	}
+	return took > max(lateThresholdFactor*a.pick.ExpectedLatency, minLateThreshold)
+}
+
+// recordPace records how fast the upstream worked, once for an attempt.
+func (a *attempt) recordPace(now time.Time) {
+	p := canary.Pace{
+		Service: a.state.req.Service.Name, Version: a.pick.Version, Work: a.model, PerUnit: a.pace.interval(), Running: canary.UnknownRunning,
+	}
+	if !a.state.req.Route.Stream {
+		p.Work, p.PerUnit = a.state.req.Route.Name, a.timeToHead
+	} else if a.head != nil && a.head.Load != nil {
+		p.Running = a.head.Load.Running
+	}
+	cold := a.startedAt.Before(a.pick.ColdUntil)
+	if a.paceRecorded || p.PerUnit == 0 || cold {
+		return
+	}
+	a.paceRecorded = true
+	s := a.state.proxy
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.canary.RecordPace(now, p)
 }
 
 // decideRetry counts an attempt that brought no usable response and decides
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -164,7 +164,9 @@
 		if !st.write(events.bytes) {
 			return streamDone
 		}
-		a.pace.record(time.Now(), events.count)
+		if a.pace.record(time.Now(), events.count); a.pace.eventsAfterFirst >= pacedEvents {
+			a.recordPace(time.Now())
+		}
 		if events.lastID != "" {
 			st.resumeAfter = events.lastID
 		}
