--- a/internal/edge/rollout_test.go
+++ b/internal/edge/rollout_test.go
@@ -57,7 +57,7 @@
 	}
 	o, ok := s.store.Get("rollouts", engine)
 	require.True(t, ok)
-	return fmt.Sprintf("%s", o.Status), float64(onNew) / float64(all)
+	return string(o.Status), float64(onNew) / float64(all)
 }
 
 // Guards against a version that is several times slower, only in the events after
