--- a/internal/fake/sitesoak/callers.go
+++ b/internal/fake/sitesoak/callers.go
@@ -19,6 +19,10 @@
 	sentAt                  time.Time
 	answeredAt              time.Time
 	status                  int
+	// cancels is set if the caller cancels early, cut if the response was truncated.
+	cancels, cut bool
+	// inStop is set for requests to a VM in a planned stop without faults.
+	inStop bool
 }
 
 // Limits that the checks apply. The maximum times are from the platform's
@@ -77,7 +81,8 @@
 func (h *harness) send(ctx context.Context, t *http.Transport, rng *rand.Rand, v *entryVM, id string) bool {
 	// The route "once" has the type unsafe, "look" safe and "chat" streaming.
 	route := []string{"once", "look", "chat"}[rng.IntN(3)]
-	r := &request{id: id, path: "/" + route + "/x?n=" + id, body: "body of " + id, key: h.currentKey(), vm: v.name, sentAt: time.Now()}
+	cancels := rng.IntN(20) == 0
+	r := &request{cancels: cancels, id: id, path: "/" + route + "/x?n=" + id, body: "body of " + id, key: h.currentKey(), vm: v.name, sentAt: time.Now()}
 	if route == "look" {
 		r.body = ""
 	}
@@ -86,7 +91,7 @@
 	h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
 	defer cancel()
-	if rng.IntN(20) == 0 { // some callers cancel early
+	if cancels {
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(rng.IntN(60))*time.Millisecond)
 		defer cancel()
 	}
@@ -129,7 +134,7 @@
 func (h *harness) checkResponse(r *request, v *entryVM, route string, resp *http.Response, body string, err error, faultFree bool) {
 	now := time.Now()
 	h.mu.Lock()
-	r.answeredAt, r.status = now, resp.StatusCode
+	r.answeredAt, r.status, r.cut = now, resp.StatusCode, err != nil
 	h.mu.Unlock()
 	signature := resp.Header.Get("X-Response-Signature")
 	timeout := map[string]time.Duration{"once": 1500, "look": 1500, "chat": 5000}[route] * time.Millisecond
@@ -201,6 +206,9 @@
 		if n > 3 {
 			h.recordViolation("%s: %d runs, the maximum is 3", id, n)
 		}
+		if r.inStop && !r.cancels && (r.status == 0 || r.cut) {
+			h.recordViolation("%s on %s: cut in a planned stop, sent at %v", id, r.vm, r.sentAt)
+		}
 		if !strings.HasPrefix(r.path, "/once/") {
 			continue
 		}
--- a/internal/fake/sitesoak/run.go
+++ b/internal/fake/sitesoak/run.go
@@ -125,6 +125,7 @@
 	h.recordEvent("planned operations")
 	h.drainReplica(rng, 0)
 	h.withdrawZone(rng, 0)
+	h.stopUnderKeptConns(rng)
 }
 
 func (h *harness) servedCount(vm string) int {
