--- a/internal/canary/pace.go
+++ b/internal/canary/pace.go
@@ -7,13 +7,13 @@
 	// fastest tenth on the versions in use. Many are at busy times; the share of
 	// slow attempts on the old version is the measure.
 	slowPaceFactor = 2.5
-	// unhurriedPaceFactor is the multiple up to which a pace is that of an upstream
+	// idlePaceFactor is the multiple up to which a pace is that of an upstream
 	// with nothing else to do. At no more than the usual load some attempts always
 	// have it; a version on which none has is slow.
-	unhurriedPaceFactor = 1.5
-	// minUnhurriedOutcomes is the number of attempts above unhurriedPaceFactor below
+	idlePaceFactor = 1.5
+	// minAboveIdleOutcomes is the number of attempts above idlePaceFactor below
 	// which a version is not judged by them.
-	minUnhurriedOutcomes = 12
+	minAboveIdleOutcomes = 12
 	// fasterStep and slowerStep are the shares by which a faster and a slower pace move
 	// the estimate. With their ratio it stays where a tenth are faster.
 	fasterStep = 0.09
@@ -26,11 +26,11 @@
 )
 
 // paceKeyPrefix begins the keys of tallies that count attempts by their pace, and
-// unhurriedKeyPrefix of these the ones that count attempts above
-// unhurriedPaceFactor. Names of routes never begin with them.
+// aboveIdleKeyPrefix of these the ones that count attempts above
+// idlePaceFactor. Names of routes never begin with them.
 const (
 	paceKeyPrefix      = "\x00"
-	unhurriedKeyPrefix = paceKeyPrefix + "\x00"
+	aboveIdleKeyPrefix = paceKeyPrefix + "\x00"
 )
 
 // Pace is how fast an upstream worked on an attempt, in time per unit of work: per
@@ -104,7 +104,7 @@
 		own := r.countersByIncarnation[c.incarnation]
 		multiple := p.PerUnit.Seconds() / ref.perUnit
 		if p.Running != UnknownRunning && float64(p.Running) <= ref.running {
-			own.add(isNew, unhurriedKeyPrefix+p.Work, multiple > unhurriedPaceFactor)
+			own.add(isNew, aboveIdleKeyPrefix+p.Work, multiple > idlePaceFactor)
 		}
 		if r.progress(now) < rampEnd {
 			own.add(isNew, paceKeyPrefix+p.Work, multiple > slowPaceFactor)
--- a/internal/canary/pace_test.go
+++ b/internal/canary/pace_test.go
@@ -41,8 +41,8 @@
 	}{
 		{"four times slower", 8 * time.Second, fixed(90 * time.Millisecond), 5, true},
 		{"idle and as fast", 8 * time.Second, fixed(20 * time.Millisecond), 50, false},
-		{"somewhat slower", 8 * time.Second, fixed(45 * time.Millisecond), 2 * minUnhurriedOutcomes, true},
-		{"somewhat slower, a few of them", 8 * time.Second, fixed(45 * time.Millisecond), 2*minUnhurriedOutcomes - 4, false},
+		{"somewhat slower", 8 * time.Second, fixed(45 * time.Millisecond), 2 * minAboveIdleOutcomes, true},
+		{"somewhat slower, a few of them", 8 * time.Second, fixed(45 * time.Millisecond), 2*minAboveIdleOutcomes - 4, false},
 		{"as busy as the old version", 8 * time.Second, busy, 50, false},
 		{"too few", 8 * time.Second, fixed(90 * time.Millisecond), minBadOutcomes - 1, false},
 		{"after the ramp, as busy as before", 17 * time.Second, busy, 50, false},
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -52,8 +52,8 @@
 // minBadFor returns the number of bad outcomes in a tally below which the new
 // version is not judged by it.
 func minBadFor(key string) uint32 {
-	if strings.HasPrefix(key, unhurriedKeyPrefix) {
-		return minUnhurriedOutcomes
+	if strings.HasPrefix(key, aboveIdleKeyPrefix) {
+		return minAboveIdleOutcomes
 	}
 	return minBadOutcomes
 }
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -57,63 +57,6 @@
 	released bool
 }
 
-// pace records when the events of a stream arrived.
-type pace struct {
-	events           int
-	firstAt, lastAt  time.Time
-	eventsAfterFirst int
-}
-
-func (p *pace) record(now time.Time, events int) {
-	if events == 0 {
-		return
-	}
-	if p.events == 0 {
-		p.firstAt = now
-	} else {
-		p.eventsAfterFirst += events
-	}
-	p.events += events
-	p.lastAt = now
-}
-
-// minPacedEvents is the number of events after the first ones from which on a pace
-// is meaningful.
-const minPacedEvents = 3
-
-// pacedEvents is the number of events after the first ones at which the pace of a
-// stream is recorded.
-const pacedEvents = 6
-
-// interval returns the mean time between events, or zero if there are too few.
-func (p *pace) interval() time.Duration {
-	if p.eventsAfterFirst < minPacedEvents {
-		return 0
-	}
-	return p.lastAt.Sub(p.firstAt) / time.Duration(p.eventsAfterFirst)
-}
-
-// framing is how a response marks the end of its body.
-type framing string
-
-const (
-	framedByLength framing = "length"
-	framedByChunks framing = "chunks"
-	// framedByClose: the end of the connection is the end of the body, also if the
-	// upstream ended early.
-	framedByClose framing = "close"
-)
-
-func framingOf(resp *http.Response) framing {
-	switch {
-	case resp.ContentLength >= 0:
-		return framedByLength
-	case len(resp.TransferEncoding) > 0:
-		return framedByChunks
-	}
-	return framedByClose
-}
-
 // sendAttempt sends the request to the picked upstream and waits for the head
 // of the response, at most headTimeout. A headTimeout of zero waits until the
 // request's deadline.
@@ -239,19 +182,6 @@
 	return fleet.OutcomeSuccess
 }
 
-// bodyEnd returns how the body of the response ended, for the metrics.
-func (a *attempt) bodyEnd() string {
-	switch {
-	case errors.Is(a.err, errEndInsideEvent), errors.Is(a.err, errNoEvents):
-		return "inside_event"
-	case a.disconnected:
-		return "broken_off"
-	case !a.bodyRead:
-		return "canceled"
-	}
-	return "regular"
-}
-
 func (a *attempt) log(upstreamOutcome fleet.Outcome) {
 	status, confidence := 0, exchange.NoConfidence
 	if a.head != nil {
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -90,7 +89,7 @@
 	defer cancel()
 	conn, err := newDialer(upstreamDialTimeout).DialContext(ctx, "tcp", address)
 	if err == nil {
-		closeUnused(conn)
+		_ = conn.Close() // nothing was sent on it
 		return
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -98,9 +97,6 @@
 	}
 }
 
-// closeUnused closes a connection on which nothing was sent.
-func closeUnused(conn net.Conn) { _ = conn.Close() }
-
 // confirmCrash records that an upstream refuses connections.
 func (s *Proxy) confirmCrash(now time.Time, upstream string, incarnation int64) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/edge/pace.go
@@ -0,0 +1,83 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/cranberrypier/cranberrypier/internal/canary"
+	"github.com/cranberrypier/cranberrypier/internal/exchange"
+)
+
+// pace records when the events of a stream arrived.
+type pace struct {
+	events           int
+	firstAt, lastAt  time.Time
+	eventsAfterFirst int
+}
+
+func (p *pace) record(now time.Time, events int) {
+	if events == 0 {
+		return
+	}
+	if p.events == 0 {
+		p.firstAt = now
+	} else {
+		p.eventsAfterFirst += events
+	}
+	p.events += events
+	p.lastAt = now
+}
+
+// minPacedEvents is the number of events after the first ones from which on a pace
+// is meaningful.
+const minPacedEvents = 3
+
+// pacedEvents is the number of events after the first ones at which the pace of a
+// stream is recorded.
+const pacedEvents = 6
+
+// interval returns the mean time between events, or zero if there are too few.
+func (p *pace) interval() time.Duration {
+	if p.eventsAfterFirst < minPacedEvents {
+		return 0
+	}
+	return p.lastAt.Sub(p.firstAt) / time.Duration(p.eventsAfterFirst)
+}
+
+// Thresholds at which a late response counts against the upstream's version.
+const (
+	// The head of a response is late after lateThresholdFactor times the
+	// expected time to the first byte, but not before minLateThreshold.
+	lateThresholdFactor = 4
+	minLateThreshold    = 300 * time.Millisecond
+)
+
+// late reports whether the response's head came late enough to count against the
+// upstream's version, or has not come by now.
+func (a *attempt) late(now time.Time) bool {
+	took := a.timeToHead
+	if a.head == nil && a.attemptStatus == exchange.Unknown && !a.disconnected {
+		took = now.Sub(a.startedAt)
+	}
+	return took > max(lateThresholdFactor*a.pick.ExpectedLatency, minLateThreshold)
+}
+
+// recordPace records how fast the upstream worked, once for an attempt.
+func (a *attempt) recordPace(now time.Time) {
+	p := canary.Pace{
+		Service: a.state.req.Service.Name, Version: a.pick.Version, Work: a.model, PerUnit: a.pace.interval(), Running: canary.UnknownRunning,
+	}
+	if !a.state.req.Route.Stream {
+		p.Work, p.PerUnit = a.state.req.Route.Name, a.timeToHead
+	} else if a.head != nil && a.head.Load != nil {
+		p.Running = a.head.Load.Running
+	}
+	cold := a.startedAt.Before(a.pick.ColdUntil)
+	if a.paceRecorded || p.PerUnit == 0 || cold {
+		return
+	}
+	a.paceRecorded = true
+	s := a.state.proxy
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.canary.RecordPace(now, p)
+}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -122,45 +122,6 @@
 	a.log(upstreamOutcome)
 }
 
-// Thresholds at which a late response counts against the upstream's version.
-const (
-	// The head of a response is late after lateThresholdFactor times the
-	// expected time to the first byte, but not before minLateThreshold.
-	lateThresholdFactor = 4
-	minLateThreshold    = 300 * time.Millisecond
-)
-
-// late reports whether the response's head came late enough to count against the
-// upstream's version, or has not come by now.
-func (a *attempt) late(now time.Time) bool {
-	took := a.timeToHead
-	if a.head == nil && a.attemptStatus == exchange.Unknown && !a.disconnected {
-		took = now.Sub(a.startedAt)
-	}
-	return took > max(lateThresholdFactor*a.pick.ExpectedLatency, minLateThreshold)
-}
-
-// recordPace records how fast the upstream worked, once for an attempt.
-func (a *attempt) recordPace(now time.Time) {
-	p := canary.Pace{
-		Service: a.state.req.Service.Name, Version: a.pick.Version, Work: a.model, PerUnit: a.pace.interval(), Running: canary.UnknownRunning,
-	}
-	if !a.state.req.Route.Stream {
-		p.Work, p.PerUnit = a.state.req.Route.Name, a.timeToHead
-	} else if a.head != nil && a.head.Load != nil {
-		p.Running = a.head.Load.Running
-	}
-	cold := a.startedAt.Before(a.pick.ColdUntil)
-	if a.paceRecorded || p.PerUnit == 0 || cold {
-		return
-	}
-	a.paceRecorded = true
-	s := a.state.proxy
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.canary.RecordPace(now, p)
-}
-
 // decideRetry counts an attempt that brought no usable response and decides
 // whether the request is sent again. If so, and if the attempt may have reached
 // its upstream, it takes a retry from the budget.
