--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -60,13 +60,18 @@
 	case a.attemptStatus == exchange.Answered:
 		s.mu.Lock()
 		s.poison.Dropped(now, run)
+		check := a.bodyRead && a.framing == framedByClose && s.poison.CheckDue(now, run.Upstream, run.Incarnation)
 		s.mu.Unlock()
+		if check {
+			go s.checkCrashed(a.pick.Address, run.Upstream, run.Incarnation)
+		}
 	}
 }
 
-// completed reports whether the attempt got a complete successful response.
+// completed reports whether the attempt certainly got a complete successful
+// response: an end that only the connection marks may be a crash.
 func (a *attempt) completed() bool {
-	return a.bodyRead && a.err == nil && a.head.Status == http.StatusOK && (a.pace.events > 0 || !a.state.req.Route.Stream)
+	return a.bodyRead && a.framing != framedByClose && a.err == nil && a.head.Status == http.StatusOK && (a.pace.events > 0 || !a.state.req.Route.Stream)
 }
 
 // recordDisconnect records that an upstream broke the connection under a request,
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -60,7 +60,7 @@
 // for half of it.
 const restartDelay = time.Second
 
-func newCrashingFleet(t *testing.T, replicas, vms int, part string) *crashingFleet {
+func newCrashingFleet(t *testing.T, replicas, vms int, faults platformside.ReplicaFaults) *crashingFleet {
 	c := &crashingFleet{site: newSite(t)}
 	t.Cleanup(func() {
 		c.mu.Lock()
@@ -69,7 +69,7 @@
 	})
 	c.configure(routes(), key)
 	for range replicas {
-		c.start(part)
+		c.start(faults)
 	}
 	for i := range vms {
 		c.startVM(fmt.Sprintf("vm-%d", i))
@@ -78,7 +78,7 @@
 	return c
 }
 
-func (c *crashingFleet) start(part string) {
+func (c *crashingFleet) start(faults platformside.ReplicaFaults) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
@@ -87,7 +87,7 @@
 	c.starts++
 	id := fmt.Sprintf("e%d", c.starts)
 	p, server := c.listenReplica(id)
-	p.SetFaults(platformside.ReplicaFaults{DeadlyPart: part})
+	p.SetFaults(faults)
 	var once sync.Once
 	p.Crash = func() {
 		once.Do(func() {
@@ -97,7 +97,7 @@
 			c.crashes++
 			c.mu.Unlock()
 			time.AfterFunc(restartDelay/2, func() { c.store.Remove("servers", id) })
-			time.AfterFunc(restartDelay, func() { c.start(part) })
+			time.AfterFunc(restartDelay, func() { c.start(faults) })
 		})
 	}
 	c.putEntry(id, engine, c.addresses[id], nil)
@@ -125,7 +125,17 @@
 // deadly part of their prompts and nothing else, and against sound requests that
 // are refused because they share the caller and the other parts.
 func TestDeadlyPromptPartKeepsCrashingUpstreams(t *testing.T) {
-	c := newCrashingFleet(t, 8, 2, "dead")
+	testDeadlyPart(t, platformside.ReplicaFaults{DeadlyPart: "dead"})
+}
+
+// Guards against a deadly part that counts as harmless, because the answers that it
+// cuts short look complete.
+func TestDeadlyPartInAnswersThatLookCompleteKeepsCrashingUpstreams(t *testing.T) {
+	testDeadlyPart(t, platformside.ReplicaFaults{DeadlyPart: "dead", Unframed: true})
+}
+
+func testDeadlyPart(t *testing.T, faults platformside.ReplicaFaults) {
+	c := newCrashingFleet(t, 8, 2, faults)
 	const (
 		maxCrashes     = 5
 		maxLateCrashes = 3
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -131,6 +131,12 @@
 // that crashes soon after may have crashed on it.
 func (c *Core) Dropped(now time.Time, r Run) { c.addRun(now, r, true) }
 
+// CheckDue reports whether the caller should check now whether an upstream still
+// accepts connections, because the end of its response may have been a crash.
+func (c *Core) CheckDue(now time.Time, upstream string, incarnation int64) bool {
+	return c.runs.checkDue(now, crashOf(upstream, incarnation))
+}
+
 func (c *Core) addRun(now time.Time, r Run, dropped bool) (check bool) {
 	id := crashOf(r.Upstream, r.Incarnation)
 	if crashedAt, ok := c.runs.crashes[id]; ok {
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -44,10 +44,16 @@
 		u.list = slices.Delete(u.list, 0, 1) // the oldest
 	}
 	u.list = append(u.list, r)
-	if r.dropped || now.Sub(u.checkedAt[r.crash]) < minCheckInterval {
+	return !r.dropped && u.checkDue(now, r.crash)
+}
+
+// checkDue reports whether an incarnation has not been checked lately, and records
+// the check.
+func (u *unconfirmedRuns) checkDue(now time.Time, id crashID) bool {
+	if now.Sub(u.checkedAt[id]) < minCheckInterval {
 		return false
 	}
-	u.checkedAt[r.crash] = now
+	u.checkedAt[id] = now
 	return true
 }
 
