edge: A VM is not ready before it knows an upstream

Cause: readiness asked for one configuration and one list of upstreams, and an empty list counted. Configuration and upstreams come by different watches, so in a fleet that is being set up the configuration can arrive first.

Change: a VM that knows no upstream waits for the first one, for at most 2 s after both are loaded; then its refusals are true and it is ready. A VM that was ready stays ready.

Evidence: TestReadyBeforeTheFirstUpstream fails on the code before ("Condition satisfied": ready without an upstream) and passes now; TestReadyWithoutUpstreams guards the limit.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -162,6 +162,27 @@
 	assert.Equal(t, 200, s.do(call{id: "y", path: "/look/x", key: key}).status)
 }
 
+// Guards against a VM that is ready, and refuses everything, because the
+// configuration arrived before the first upstream.
+func TestReadyBeforeTheFirstUpstream(t *testing.T) {
+	s := newSite(t)
+	s.configure(routes(), key)
+	e := s.launchVM("vm-1")
+	assert.Never(t, e.ready, 500*time.Millisecond, 10*time.Millisecond)
+	s.startReplica("o0", orders)
+	require.Eventually(t, e.ready, 5*time.Second, 10*time.Millisecond)
+	assert.Equal(t, 200, s.do(call{id: "x", path: "/look/x", key: key}).status)
+}
+
+// A fleet without upstreams must not keep its VMs from being ready for ever.
+func TestReadyWithoutUpstreams(t *testing.T) {
+	s := newSite(t)
+	s.configure(routes(), key)
+	e := s.launchVM("vm-1")
+	require.Eventually(t, e.ready, 10*time.Second, 10*time.Millisecond)
+	assert.Equal(t, 503, s.do(call{id: "x", path: "/look/x", key: key}).status)
+}
+
 func TestStoreAbsentAtStart(t *testing.T) {
 	s := newSite(t)
 	s.store.SetFaults(platformside.StoreFaults{Reset: true})
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -59,7 +59,7 @@
 	history   time.Duration // of the store; zero if unknown
 	withdrawn withdrawnZones
 	rollOuts  map[string]rollOutObject // keyed by object name
-	loaded    struct{ config, upstreams atomic.Bool }
+	readiness readiness
 	// config is the object of the configuration in use.
 	config atomic.Pointer[catalog.Object]
 	// zone is this VM's availability zone.
@@ -96,7 +96,7 @@
 
 // Ready reports whether the configuration and the upstreams are loaded, so that
 // the VM can serve callers.
-func (f *Follower) Ready() bool { return f.loaded.config.Load() && f.loaded.upstreams.Load() }
+func (f *Follower) Ready() bool { return f.readiness.check(time.Now(), f.proxy.fleet.Len()) }
 
 // NewWatchers returns a watcher for each kind.
 func (f *Follower) NewWatchers() []*catalog.Watcher {
@@ -166,7 +166,7 @@
 	f.proxy.fleet.SetColdRates(rates)
 	f.proxy.config.Store(config)
 	f.config.Store(&o)
-	f.loaded.config.Store(true)
+	f.readiness.configLoaded()
 	klog.InfoS("config: applied", "version", config.Version, "revision", o.Revision, "routes", config.RouteCount(), "keys", len(config.TeamsByKey))
 }
 
@@ -199,7 +199,7 @@
 		out = append(out, u)
 	}
 	f.proxy.fleet.Replace(now, out)
-	f.loaded.upstreams.Store(true)
+	f.readiness.upstreamsLoaded()
 	klog.InfoS("fleet: list of upstreams applied", "upstreams", len(out))
 }
 
--- /dev/null
+++ b/internal/edge/readiness.go
@@ -0,0 +1,46 @@
+package edge
+
+import (
+	"sync"
+	"time"
+)
+
+// maxEmptyFleetTime is how long a VM that knows no upstream waits for the first
+// one before it reports that it is ready. The configuration and the upstreams come
+// from different watches, so the configuration may arrive first.
+const maxEmptyFleetTime = 2 * time.Second
+
+// readiness decides when the VM can serve callers. It is safe for concurrent use.
+type readiness struct {
+	mu                sync.Mutex
+	config, upstreams bool
+	ready             bool
+	// loadedAt is the time of the first check that found both loaded.
+	loadedAt time.Time
+}
+
+func (r *readiness) configLoaded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.config = true
+}
+
+func (r *readiness) upstreamsLoaded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.upstreams = true
+}
+
+// check reports whether the VM is ready. A VM that was ready once stays ready.
+func (r *readiness) check(now time.Time, upstreamCount int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ready || !r.config || !r.upstreams {
+		return r.ready
+	}
+	if r.loadedAt.IsZero() {
+		r.loadedAt = now
+	}
+	r.ready = upstreamCount > 0 || now.Sub(r.loadedAt) >= maxEmptyFleetTime
+	return r.ready
+}
