router: TestPlannedStopCompletesRequests holds its streams open

Cause: the streams are short; beside load the first ones were over before the last began. The engines now begin 2 s late, so that the requests overlap and the stop meets them before their first token, which is the harder case. Nothing else changes in the test.

--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -276,6 +276,9 @@
 // Guards against a planned stop that interrupts streams or loses bills.
 func TestPlannedStopCompletesRequests(t *testing.T) {
 	f := newTestFleet(t, 1)
+	for _, e := range f.engines { // the requests overlap on a busy machine, too
+		e.Server.Switches.Set(faults.Faults{SlowMS: 2000})
+	}
 	var wg sync.WaitGroup
 	for range 8 {
 		wg.Go(func() { f.checkCompleteStream(t) })
