canary: Compare versions over all routes with the same mix of routes

Three different causes; this commit mends the first.

By route the version was no worse; over all routes 3 of 4 stood against 5 of 78.

Change: over all routes, the old version counts as if its requests had been spread over the routes like those of the new one.

Evidence: TestRouteThatAlwaysFailsRevertsNoVersion fails on the code before (reverted, 3 of 4 against 6 of 84). It also checks that a route that fails on the new version only still reverts it.

--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -174,6 +174,27 @@
 	assert.Equal(t, oldVersion, chosenVersion(c, at(8*time.Second), "any", "x"))
 }
 
+// Guards against a good version that is reverted because its first requests come on
+// a route that fails on every version.
+func TestRouteThatAlwaysFailsRevertsNoVersion(t *testing.T) {
+	c := newWithRollOut("vm-1")
+	for i := range 78 {
+		recordOutcome(c, oldVersion, "good", false)
+		if i%13 == 0 {
+			recordOutcome(c, oldVersion, "failing", true)
+		}
+	}
+	recordOutcome(c, newVersion, "good", false)
+	for range 3 {
+		recordOutcome(c, newVersion, "failing", true)
+	}
+	assert.Empty(t, c.Tick(at(8*time.Second)))
+	for range 4 {
+		recordOutcome(c, newVersion, "good", true)
+	}
+	assert.True(t, isReverted(c, 8*time.Second), "the other route fails on the new version only")
+}
+
 // No VM has enough outcomes on its own; only the pooled outcomes show that the
 // version is bad.
 func TestPooledVerdict(t *testing.T) {
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -49,6 +49,31 @@
 	}
 }
 
+// withMixOf returns the outcomes that the old version would have had over all routes
+// if its requests had been spread over the routes like those of the new version. The
+// routes differ in how often they fail, and the first requests of a new version
+// may come on a few routes only.
+func withMixOf(newTallies, oldTallies map[string]Tally) Tally {
+	all := oldTallies[allRoutes]
+	bad, total := 0.0, 0.0
+	for route, t := range newTallies {
+		if route == allRoutes || strings.HasPrefix(route, paceKeyPrefix) {
+			continue
+		}
+		old := oldTallies[route]
+		if old.Total == 0 {
+			old = all
+		}
+		bad += float64(t.Total) * old.badShare()
+		total += float64(t.Total)
+	}
+	return Tally{Total: all.Total, Bad: uint32(math.Round(bad / max(total, 1) * float64(all.Total+1)))}
+}
+
+// badShare returns the share of bad outcomes. One more good outcome keeps small
+// samples from being decisive.
+func (t Tally) badShare() float64 { return float64(t.Bad) / float64(t.Total+1) }
+
 // minBadFor returns the number of bad outcomes in a tally below which the new
 // version is not judged by it.
 func minBadFor(key string) uint32 {
@@ -63,9 +88,7 @@
 	if newTally.Bad < minBad {
 		return false
 	}
-	// One more good outcome on each side keeps small samples from being decisive.
-	newShare := float64(newTally.Bad) / float64(newTally.Total+1)
-	oldShare := float64(oldTally.Bad) / float64(oldTally.Total+1)
+	newShare, oldShare := newTally.badShare(), oldTally.badShare()
 	return newShare > math.Max(oldShare+minBadShareIncrease, math.Min(minBadShareRatio*oldShare, (1+oldShare)/2))
 }
 
@@ -98,7 +121,11 @@
 		newTallies, oldTallies, running := r.pooledTallies()
 		v := Verdict{RollOut: r.rollOut, New: newTallies[allRoutes], Old: oldTallies[allRoutes], Progress: r.progress(now)}
 		for route := range newTallies {
-			if isWorse(newTallies[route], oldTallies[route], minBadFor(route)) {
+			old := oldTallies[route]
+			if route == allRoutes {
+				old = withMixOf(newTallies, oldTallies)
+			}
+			if isWorse(newTallies[route], old, minBadFor(route)) {
 				r.judgedBad = true
 				v.Route = route
 			}
