canary: A call is not slow by what the network takes

Cause: calls of the route take 2 ms inside a zone and 8 ms across zones on both versions. All five on the new version crossed zones; 8 ms is more than 2.5 times the fastest tenth, so all of them counted as slow.

Change: a call's pace counts as slow only if it also exceeds the reference by 20 ms.

Evidence: TestNetworkTimeRevertsNoVersion fails without the margin (8 ms against 2 ms is reverted); 40 ms against 2 ms is reverted as before.

--- a/internal/canary/pace.go
+++ b/internal/canary/pace.go
@@ -42,11 +42,21 @@
 	// plain service.
 	Work    string
 	PerUnit time.Duration
+	// Margin is a difference of PerUnit that says nothing about a version, because
+	// the network makes it.
+	Margin time.Duration
 	// Running is the number of requests that the upstream was running, or
 	// UnknownRunning.
 	Running int
 }
 
+// exceeds reports whether the pace is slower than a multiple of a reference pace in
+// seconds, and not only by its margin.
+func (p Pace) exceeds(multiple, perUnit float64) bool {
+	seconds := p.PerUnit.Seconds()
+	return seconds > multiple*perUnit && seconds-perUnit > p.Margin.Seconds()
+}
+
 // UnknownRunning is the load of an upstream that did not report it.
 const UnknownRunning = -1
 
@@ -102,12 +112,11 @@
 	}
 	if rolling && ref.samples >= minPaces {
 		own := r.countersByIncarnation[c.incarnation]
-		multiple := p.PerUnit.Seconds() / ref.perUnit
 		if p.Running != UnknownRunning && float64(p.Running) <= ref.running {
-			own.add(isNew, aboveIdleKeyPrefix+p.Work, multiple > idlePaceFactor)
+			own.add(isNew, aboveIdleKeyPrefix+p.Work, p.exceeds(idlePaceFactor, ref.perUnit))
 		}
 		if r.progress(now) < rampEnd {
-			own.add(isNew, paceKeyPrefix+p.Work, multiple > slowPaceFactor)
+			own.add(isNew, paceKeyPrefix+p.Work, p.exceeds(slowPaceFactor, ref.perUnit))
 		}
 	}
 	if !isNew {
--- a/internal/canary/pace_test.go
+++ b/internal/canary/pace_test.go
@@ -87,3 +87,30 @@
 	}
 	assert.InDelta(t, 0.024, r.perUnit, 0.006)
 }
+
+// Guards against a good version of a quick service that is reverted because its
+// calls cross zones.
+func TestNetworkTimeRevertsNoVersion(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		pace   time.Duration
+		judged bool
+	}{
+		{"another zone", 8 * time.Millisecond, false},
+		{"slow", 40 * time.Millisecond, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newWithRollOut("vm-1")
+			call := func(version string, perUnit time.Duration) {
+				c.RecordPace(at(8*time.Second), Pace{Service: service, Version: version, Work: "route", PerUnit: perUnit, Margin: 20 * time.Millisecond, Running: UnknownRunning})
+			}
+			for range 60 {
+				call(oldVersion, 2*time.Millisecond)
+			}
+			for range 5 {
+				call(newVersion, tt.pace)
+			}
+			assert.Equal(t, tt.judged, isReverted(c, 8*time.Second))
+		})
+	}
+}
