canary: A request counts once, and few slow calls decide only if most are slow

Cause: requests of one route differ in the work they need, and about one in ten fails on every upstream. Each attempt of a request counted, so that one such request was two or three outcomes; and three slow attempts judged a version, however many were fast (4 of 12 against 7% on the old version).

Change: of a request, the first attempt at each version and model counts. A version is judged by fewer than five slow attempts only if most are slow.

--- a/internal/canary/pace.go
+++ b/internal/canary/pace.go
@@ -7,6 +7,9 @@
 	// fastest tenth on the versions in use. Many are at busy times; the share of
 	// slow attempts on the old version is the measure.
 	slowPaceFactor = 2.5
+	// minSlowOutcomes is the number of slow attempts below which a version is not
+	// judged by them unless most are slow.
+	minSlowOutcomes = 5
 	// idlePaceFactor is the multiple up to which a pace is that of an upstream
 	// with nothing else to do. At no more than the usual load some attempts always
 	// have it; a version on which none has is slow.
--- a/internal/canary/pace_test.go
+++ b/internal/canary/pace_test.go
@@ -88,6 +88,23 @@
 	assert.InDelta(t, 0.024, r.perUnit, 0.006)
 }
 
+// Guards against a good version that is reverted because a few of its first requests
+// need much work.
+func TestFewLongRequestsRevertNoVersion(t *testing.T) {
+	c := newWithRollOut("vm-1")
+	longEvery := func(n int) func(int) time.Duration {
+		return func(i int) time.Duration {
+			if i%n == 0 {
+				return 38 * time.Millisecond
+			}
+			return 12 * time.Millisecond
+		}
+	}
+	recordPaces(c, 8*time.Second, oldVersion, 120, longEvery(14))
+	recordPaces(c, 8*time.Second, newVersion, 12, longEvery(3))
+	assert.False(t, isReverted(c, 8*time.Second))
+}
+
 // Guards against a good version of a quick service that is reverted because its
 // calls cross zones.
 func TestNetworkTimeRevertsNoVersion(t *testing.T) {
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -75,10 +75,14 @@
 func (t Tally) badShare() float64 { return float64(t.Bad) / float64(t.Total+1) }
 
 // minBadFor returns the number of bad outcomes in a tally below which the new
-// version is not judged by it.
-func minBadFor(key string) uint32 {
-	if strings.HasPrefix(key, aboveIdleKeyPrefix) {
+// version is not judged by it. Few slow attempts decide only if most are slow, since
+// requests of one route differ in the work they need.
+func minBadFor(key string, newTally Tally) uint32 {
+	switch {
+	case strings.HasPrefix(key, aboveIdleKeyPrefix):
 		return minAboveIdleOutcomes
+	case strings.HasPrefix(key, paceKeyPrefix) && 2*newTally.Bad <= newTally.Total:
+		return minSlowOutcomes
 	}
 	return minBadOutcomes
 }
@@ -125,7 +129,7 @@
 			if route == allRoutes {
 				old = withMixOf(newTallies, oldTallies)
 			}
-			if isWorse(newTallies[route], old, minBadFor(route)) {
+			if isWorse(newTallies[route], old, minBadFor(route, newTallies[route])) {
 				r.judgedBad = true
 				v.Route = route
 			}
--- a/internal/edge/pace.go
+++ b/internal/edge/pace.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cranberrypier/cranberrypier/internal/canary"
@@ -65,6 +66,23 @@
 	return took > max(lateThresholdFactor*a.pick.ExpectedLatency, minLateThreshold)
 }
 
+// countedAttempts are the attempts of a request that count for their versions: the
+// first at each version and model. Further ones fail, or take long, for the same
+// reason if it lies in the request.
+type countedAttempts []countedAttempt
+
+type countedAttempt struct{ version, model string }
+
+// add reports whether an attempt counts, and remembers it.
+func (c *countedAttempts) add(a *attempt) bool {
+	key := countedAttempt{version: a.pick.Version, model: a.model}
+	if slices.Contains(*c, key) {
+		return false
+	}
+	*c = append(*c, key)
+	return true
+}
+
 // recordPace records how fast the upstream worked, once for an attempt.
 func (a *attempt) recordPace(now time.Time) {
 	p := canary.Pace{
@@ -80,6 +98,9 @@
 		return
 	}
 	a.paceRecorded = true
+	if !a.state.paces.add(a) {
+		return
+	}
 	s := a.state.proxy
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -41,6 +41,8 @@
 	sends         int      // attempts whose request may have reached an upstream
 	runs          int      // attempts that upstreams executed or may have executed
 	versionReason string   // reason of the version rule of the last pick, for the log
+	// outcomes and paces are the attempts that count for the versions.
+	outcomes, paces countedAttempts
 	// outcome names how the request ended, for the log and the metrics.
 	outcome   string
 	status    int
@@ -112,6 +114,7 @@
 	// Only a response of the upstream itself says anything about its version.
 	late := a.late(now)
 	conclusive := late || upstreamOutcome == fleet.OutcomeSuccess || (upstreamOutcome == fleet.OutcomeFailed && a.attemptStatus == exchange.Answered)
+	conclusive = conclusive && x.outcomes.add(a)
 	x.proxy.recordAttemptOutcome(canary.Outcome{
 		Service: x.req.Service.Name, Version: a.pick.Version, Route: x.req.Route.Name,
 		Conclusive: conclusive, Bad: conclusive && (late || upstreamOutcome == fleet.OutcomeFailed),
