canary: Compare paces at the same load during the trial and the ramp

Cause, from the logs: until the end of the ramp eight paces were known on the new version, all between 45 and 123 ms per event, where 20 ms are the fastest tenth and 33 ms the median of the old one. None is 2.5 times the fastest tenth for certain, and the other measure, that no attempt is as fast as an idle upstream's, needs twelve attempts of one model at low load.

Change: VMs keep the latest 32 paces of the versions in use for each class of load that upstreams report. An attempt counts as slow at its load above 1.5 times the median there, or at the next higher load that is known. This is counted over all models together, until the end of the ramp; six are needed.

Evidence: TestVersionSlowAtTheSameLoadIsReverted fails on the code before (twice as slow, seven attempts).

Failed try: the same comparison after the ramp, too.

--- a/internal/canary/pace.go
+++ b/internal/canary/pace.go
@@ -1,6 +1,10 @@
 package canary
 
-import "time"
+import (
+	"math/bits"
+	"slices"
+	"time"
+)
 
 const (
 	// slowPaceFactor: an attempt is slow if its pace is more than this multiple of the
@@ -17,6 +21,12 @@
 	// minAboveIdleOutcomes is the number of attempts above idlePaceFactor below
 	// which a version is not judged by them.
 	minAboveIdleOutcomes = 12
+	// loadedPaceFactor: an attempt is slow at its load if its pace is more than this
+	// multiple of the median at the same load on the versions in use.
+	loadedPaceFactor = 1.5
+	// minLoadedOutcomes is the number of attempts that are slow at their load below
+	// which a version is not judged by them.
+	minLoadedOutcomes = 6
 	// fasterStep and slowerStep are the shares by which a faster and a slower pace move
 	// the estimate. With their ratio it stays where a tenth are faster.
 	fasterStep = 0.09
@@ -30,10 +40,12 @@
 
 // paceKeyPrefix begins the keys of tallies that count attempts by their pace, and
 // aboveIdleKeyPrefix of these the ones that count attempts above
-// idlePaceFactor. Names of routes never begin with them.
+// idlePaceFactor. loadedPaceKey counts attempts of all kinds of work by their pace at
+// their load. Names of routes never begin with them.
 const (
 	paceKeyPrefix      = "\x00"
 	aboveIdleKeyPrefix = paceKeyPrefix + "\x00"
+	loadedPaceKey      = paceKeyPrefix + "\x01"
 )
 
 // Pace is how fast an upstream worked on an attempt, in time per unit of work: per
@@ -68,23 +80,70 @@
 	perUnit float64 // estimate of the fastest tenth, in seconds
 	running float64 // estimate of the median load
 	samples int
+	byLoad  [loadClasses]recentPaces
 }
 
 // runningStep is the step, in requests, by which a load moves the estimate of the
 // median.
 const runningStep = 0.2
 
+// loadClasses is the number of classes of loads: 0, 1, 2 to 3, 4 to 7 requests and so
+// on. The last one has no upper end.
+const loadClasses = 7
+
+func loadClass(running int) int { return min(bits.Len(uint(max(running, 0))), loadClasses-1) }
+
+// maxRecentPaces limits the paces that make a median.
+const maxRecentPaces = 32
+
+// recentPaces are the latest paces at one class of loads, in seconds.
+type recentPaces struct {
+	paces []float64
+	next  int // index of the oldest pace once there are maxRecentPaces
+}
+
+func (r *recentPaces) add(perUnit float64) {
+	if len(r.paces) < maxRecentPaces {
+		r.paces = append(r.paces, perUnit)
+		return
+	}
+	r.paces[r.next] = perUnit
+	r.next = (r.next + 1) % maxRecentPaces
+}
+
+func (r *recentPaces) median() float64 {
+	sorted := slices.Sorted(slices.Values(r.paces))
+	return sorted[len(sorted)/2]
+}
+
 func (r *reference) add(p Pace) {
 	r.addPace(p.PerUnit.Seconds())
-	switch running := float64(p.Running); {
-	case p.Running == UnknownRunning:
-	case running > r.running:
+	if p.Running == UnknownRunning {
+		return
+	}
+	r.byLoad[loadClass(p.Running)].add(p.PerUnit.Seconds())
+	if running := float64(p.Running); running > r.running {
 		r.running += runningStep
-	default:
+	} else {
 		r.running = max(r.running-runningStep, 0)
 	}
 }
 
+// atLoad returns the median pace at a load, or at the next higher load that is
+// known: no work gets slower at a lower load. It returns false if none is, or if the
+// load is unknown.
+func (r *reference) atLoad(running int) (float64, bool) {
+	if running == UnknownRunning {
+		return 0, false
+	}
+	for i := loadClass(running); i < loadClasses; i++ {
+		if len(r.byLoad[i].paces) >= minPaces {
+			return r.byLoad[i].median(), true
+		}
+	}
+	return 0, false
+}
+
 func (r *reference) addPace(perUnit float64) {
 	r.samples++
 	switch {
@@ -100,8 +159,7 @@
 }
 
 // RecordPace learns from the paces on the versions in use, and counts attempts on
-// both versions by their pace. Slow ones count while sessions move to the new
-// version only: afterwards the old one has no load that could be compared.
+// both versions by their pace.
 func (c *Core) RecordPace(now time.Time, p Pace) {
 	if p.PerUnit <= 0 {
 		return
@@ -115,18 +173,28 @@
 	}
 	if rolling && ref.samples >= minPaces {
 		own := r.countersByIncarnation[c.incarnation]
-		if p.Running != UnknownRunning && float64(p.Running) <= ref.running {
-			own.add(isNew, aboveIdleKeyPrefix+p.Work, p.exceeds(idlePaceFactor, ref.perUnit))
-		}
-		if r.progress(now) < rampEnd {
-			own.add(isNew, paceKeyPrefix+p.Work, p.exceeds(slowPaceFactor, ref.perUnit))
-		}
+		own.addPace(isNew, p, ref, r.progress(now) < rampEnd)
 	}
 	if !isNew {
 		ref.add(p)
 	}
 }
 
+// addPace counts an attempt by its pace. compared is true while both versions have
+// load.
+func (c Counters) addPace(isNew bool, p Pace, ref *reference, compared bool) {
+	if p.Running != UnknownRunning && float64(p.Running) <= ref.running {
+		c.add(isNew, aboveIdleKeyPrefix+p.Work, p.exceeds(idlePaceFactor, ref.perUnit))
+	}
+	if !compared {
+		return
+	}
+	c.add(isNew, paceKeyPrefix+p.Work, p.exceeds(slowPaceFactor, ref.perUnit))
+	if median, ok := ref.atLoad(p.Running); ok {
+		c.add(isNew, loadedPaceKey, p.exceeds(loadedPaceFactor, median))
+	}
+}
+
 // reference returns the estimate for some work, or nil if there are too many.
 func (c *Core) reference(key string) *reference {
 	ref := c.references[key]
--- a/internal/canary/pace_test.go
+++ b/internal/canary/pace_test.go
@@ -88,6 +88,53 @@
 	assert.InDelta(t, 0.024, r.perUnit, 0.006)
 }
 
+// Guards against a version about twice as slow that is kept, because the trial brings
+// too few attempts to tell it from a busy one.
+func TestVersionSlowAtTheSameLoadIsReverted(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		factor float64
+		n      int
+		judged bool
+	}{
+		{"as fast", 1, 60, false},
+		{"somewhat slower", 1.3, 60, false},
+		{"twice as slow", 2.2, minLoadedOutcomes + 1, true},
+		{"twice as slow, too few", 2.2, minLoadedOutcomes - 1, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newWithRollOut("vm-1")
+			record := func(version string, n int, factor float64) {
+				for i := range n {
+					perUnit := time.Duration(float64(20+2*(i%4)) * factor * float64(time.Millisecond))
+					c.RecordPace(at(8*time.Second), Pace{Service: service, Version: version, Work: fmt.Sprint("model-", i%2), PerUnit: perUnit, Running: i % 4})
+				}
+			}
+			record(oldVersion, 120, 1)
+			record(newVersion, tt.n, tt.factor)
+			assert.Equal(t, tt.judged, isReverted(c, 8*time.Second))
+		})
+	}
+}
+
+func TestReferenceAtHigherLoads(t *testing.T) {
+	r := &reference{}
+	_, ok := r.atLoad(3)
+	assert.False(t, ok)
+	for i := range 3 * maxRecentPaces {
+		r.add(Pace{PerUnit: time.Duration(10+i%3) * time.Millisecond, Running: 5})
+	}
+	for _, running := range []int{0, 3, 7} {
+		median, ok := r.atLoad(running)
+		assert.True(t, ok)
+		assert.InDelta(t, 0.011, median, 1e-9)
+	}
+	for _, running := range []int{8, 1000, UnknownRunning} {
+		_, ok = r.atLoad(running)
+		assert.False(t, ok, running)
+	}
+}
+
 // Guards against a good version that is reverted because a few of its first requests
 // need much work.
 func TestFewLongRequestsRevertNoVersion(t *testing.T) {
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -81,6 +81,8 @@
 	switch {
 	case strings.HasPrefix(key, aboveIdleKeyPrefix):
 		return minAboveIdleOutcomes
+	case key == loadedPaceKey:
+		return minLoadedOutcomes
 	case strings.HasPrefix(key, paceKeyPrefix) && 2*newTally.Bad <= newTally.Total:
 		return minSlowOutcomes
 	}
