canary: Failures and slow calls must be more than chance

And a slow plain service was kept when its trial brought few calls.

Cause: a version was judged by its share alone, from three bad outcomes on, on each route, again and again as outcomes come in. Calls counted by their pace only until the end of the ramp, in which a plain service has a handful.

Change: as many failures must have a probability below 0.003 at the old version's share, as many slow calls below 0.01 (binomial, from gonum, which the plots use already). Calls count by their pace after the ramp, too: unlike that of a stream their pace depends little on the load. Paces of calls have their own keys.

Evidence: canary.TestFailuresByChanceRevertNoVersion and the new cases of TestFewLongRequestsRevertNoVersion fail on the code before.

--- a/internal/canary/pace.go
+++ b/internal/canary/pace.go
@@ -11,7 +11,10 @@
 	// fastest tenth on the versions in use. Many are at busy times; the share of
 	// slow attempts on the old version is the measure.
 	slowPaceFactor = 2.5
-	// minSlowOutcomes is the number of slow attempts below which a version is not
+	// callPaceMargin is how much longer than another call one may take because of the
+	// network between zones and connections that are opened.
+	callPaceMargin = 20 * time.Millisecond
+	// minSlowOutcomes is the number of slow streams below which a version is not
 	// judged by them unless most are slow.
 	minSlowOutcomes = 5
 	// idlePaceFactor is the multiple up to which a pace is that of an upstream
@@ -46,6 +49,7 @@
 	paceKeyPrefix      = "\x00"
 	aboveIdleKeyPrefix = paceKeyPrefix + "\x00"
 	loadedPaceKey      = paceKeyPrefix + "\x01"
+	callPaceKeyPrefix  = paceKeyPrefix + "\x02"
 )
 
 // Pace is how fast an upstream worked on an attempt, in time per unit of work: per
@@ -57,19 +61,26 @@
 	// plain service.
 	Work    string
 	PerUnit time.Duration
-	// Margin is a difference of PerUnit that says nothing about a version, because
-	// the network makes it.
-	Margin time.Duration
+	// Call is true for a call of a plain service, whose pace includes the network.
+	Call bool
 	// Running is the number of requests that the upstream was running, or
 	// UnknownRunning.
 	Running int
 }
 
 // exceeds reports whether the pace is slower than a multiple of a reference pace in
-// seconds, and not only by its margin.
+// seconds, and not only by what the network takes.
 func (p Pace) exceeds(multiple, perUnit float64) bool {
-	seconds := p.PerUnit.Seconds()
-	return seconds > multiple*perUnit && seconds-perUnit > p.Margin.Seconds()
+	difference := p.PerUnit.Seconds() - perUnit
+	return difference > (multiple-1)*perUnit && (!p.Call || difference > callPaceMargin.Seconds())
+}
+
+// key returns the key of the tally that counts the attempt by its pace.
+func (p Pace) key() string {
+	if p.Call {
+		return callPaceKeyPrefix + p.Work
+	}
+	return paceKeyPrefix + p.Work
 }
 
 // UnknownRunning is the load of an upstream that did not report it.
@@ -181,15 +192,15 @@
 }
 
 // addPace counts an attempt by its pace. compared is true while both versions have
-// load.
+// load; the paces of streams, which depend on it, count only then.
 func (c Counters) addPace(isNew bool, p Pace, ref *reference, compared bool) {
 	if p.Running != UnknownRunning && float64(p.Running) <= ref.running {
 		c.add(isNew, aboveIdleKeyPrefix+p.Work, p.exceeds(idlePaceFactor, ref.perUnit))
 	}
-	if !compared {
+	if !compared && !p.Call {
 		return
 	}
-	c.add(isNew, paceKeyPrefix+p.Work, p.exceeds(slowPaceFactor, ref.perUnit))
+	c.add(isNew, p.key(), p.exceeds(slowPaceFactor, ref.perUnit))
 	if median, ok := ref.atLoad(p.Running); ok {
 		c.add(isNew, loadedPaceKey, p.exceeds(loadedPaceFactor, median))
 	}
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -4,6 +4,8 @@
 	"math"
 	"strings"
 	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
 )
 
 // Thresholds for judging a version as bad.
@@ -18,6 +20,10 @@
 	// multiple of the old version's, or more than halfway between the old version's
 	// and 1 if that is less.
 	minBadShareRatio = 3.0
+	// maxChance is the probability above which as many bad outcomes on the new version
+	// are put down to chance; maxSlowCallChance is that for slow calls.
+	maxChance         = 0.003
+	maxSlowCallChance = 0.01
 )
 
 // pooledTallies sums the counters of all VMs, by route and in total.
@@ -75,15 +81,14 @@
 func (t Tally) badShare() float64 { return float64(t.Bad) / float64(t.Total+1) }
 
 // minBadFor returns the number of bad outcomes in a tally below which the new
-// version is not judged by it. Few slow attempts decide only if most are slow, since
-// requests of one route differ in the work they need.
+// version is not judged by it. Few slow streams decide only if most are slow.
 func minBadFor(key string, newTally Tally) uint32 {
 	switch {
 	case strings.HasPrefix(key, aboveIdleKeyPrefix):
 		return minAboveIdleOutcomes
 	case key == loadedPaceKey:
 		return minLoadedOutcomes
-	case strings.HasPrefix(key, paceKeyPrefix) && 2*newTally.Bad <= newTally.Total:
+	case isStreamPaceKey(key) && 2*newTally.Bad <= newTally.Total:
 		return minSlowOutcomes
 	}
 	return minBadOutcomes
@@ -98,6 +103,33 @@
 	return newShare > math.Max(oldShare+minBadShareIncrease, math.Min(minBadShareRatio*oldShare, (1+oldShare)/2))
 }
 
+// isJudgedBad reports whether the new version is judged as bad by the tallies of a
+// key. Failures and slow calls must also be more than chance brings, because some
+// requests fail, or need much work, on every version.
+func isJudgedBad(key string, newTally, oldTally Tally) bool {
+	if !isWorse(newTally, oldTally, minBadFor(key, newTally)) {
+		return false
+	}
+	switch {
+	case isStreamPaceKey(key):
+		return true
+	case strings.HasPrefix(key, callPaceKeyPrefix):
+		return newTally.chance(oldTally) < maxSlowCallChance
+	}
+	return newTally.chance(oldTally) < maxChance
+}
+
+func isStreamPaceKey(key string) bool {
+	return strings.HasPrefix(key, paceKeyPrefix) && !strings.HasPrefix(key, callPaceKeyPrefix)
+}
+
+// chance returns how likely at least as many bad outcomes are if the true share is
+// that of another tally.
+func (t Tally) chance(other Tally) float64 {
+	share := float64(other.Bad+1) / float64(other.Total+2)
+	return 1 - distuv.Binomial{N: float64(t.Total), P: share}.CDF(float64(t.Bad)-1)
+}
+
 // Verdict is a change of phase that should be reported to operators.
 type Verdict struct {
 	RollOut RollOut
@@ -131,7 +163,7 @@
 			if route == allRoutes {
 				old = withMixOf(newTallies, oldTallies)
 			}
-			if isWorse(newTallies[route], old, minBadFor(route, newTallies[route])) {
+			if isJudgedBad(route, newTallies[route], old) {
 				r.judgedBad = true
 				v.Route = route
 			}
--- a/internal/edge/pace.go
+++ b/internal/edge/pace.go
@@ -52,10 +52,6 @@
 	minLateThreshold    = 300 * time.Millisecond
 )
 
-// callPaceMargin is how much longer than another call one may take because of the
-// network between zones and connections that are opened.
-const callPaceMargin = 20 * time.Millisecond
-
 // late reports whether the response's head came late enough to count against the
 // upstream's version, or has not come by now.
 func (a *attempt) late(now time.Time) bool {
@@ -89,7 +85,7 @@
 		Service: a.state.req.Service.Name, Version: a.pick.Version, Work: a.model, PerUnit: a.pace.interval(), Running: canary.UnknownRunning,
 	}
 	if !a.state.req.Route.Stream {
-		p.Work, p.PerUnit, p.Margin = a.state.req.Route.Name, a.timeToHead, callPaceMargin
+		p.Work, p.PerUnit, p.Call = a.state.req.Route.Name, a.timeToHead, true
 	} else if a.head != nil && a.head.Load != nil {
 		p.Running = a.head.Load.Running
 	}
