poison: Only a refused connection shows a crash, and completions count at once

The upstreams were alive, and were replaced or emptied, as planned, some seconds later. An upstream that was no longer listed within 15 s after it had broken a connection counted as crashed. Three of these, or two and a loss of several upstreams, blocked what had run there. Requests with the same parts completed all the while, but before the marks were known, so that these were not cleared.

Change: only a refused connection confirms a crash, within 3 s; a connection that is accepted clears the upstream of what it broke before. A mark is cleared at once if a request with the part has completed since the crash. fleet.Listed is gone; so is the walk over unconfirmed runs for each request.

TestPoisonRequest took replicas that lose an answer and are removed from the list for crashed ones. Its replicas now stop listening, as crashed processes do; what it asks for is the same.

Evidence: edge.TestBrokenConnectionsBeforePlannedStopsBlockNothing fails on the code before (503 for a sound request), poison.TestBrokenConnectionBeforeAPlannedStopIsNoCrash and TestCompletedBeforeTheCrashIsKnown guard the parts.

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -29,7 +29,6 @@
 	s, now := x.proxy, time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.poison.ConfirmDelisted(now, s.fleet.Listed)
 	var blocked bool
 	x.blockedFor, blocked = s.poison.Blocked(now, x.req.ContentKeys)
 	return blocked
@@ -95,6 +94,9 @@
 	conn, err := newDialer(upstreamDialTimeout).DialContext(ctx, "tcp", address)
 	if err == nil {
 		_ = conn.Close() // nothing was sent on it
+		s.mu.Lock()
+		s.poison.Alive(time.Now(), upstream, incarnation)
+		s.mu.Unlock()
 		return
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -116,7 +118,6 @@
 func (s *Proxy) suspects(now time.Time) []poison.Suspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.poison.ConfirmDelisted(now, s.fleet.Listed)
 	return s.poison.Share(now)
 }
 
--- a/internal/fake/platformside/replica.go
+++ b/internal/fake/platformside/replica.go
@@ -78,7 +78,8 @@
 	EventInterval time.Duration
 	// ProcessingTime is the processing time of a request that is not a stream.
 	ProcessingTime time.Duration
-	// Crash is called when the replica crashes on a deadly part.
+	// Crash is called when the replica crashes on a deadly part, and, if it is set,
+	// before LoseAnswer resets the connection.
 	Crash func()
 	// Confidence is the reported confidence, 0 to 100, by model; a model that is
 	// not listed reports 100.
@@ -192,6 +193,9 @@
 	switch {
 	case f.LoseAnswer:
 		time.Sleep(p.ProcessingTime)
+		if p.Crash != nil {
+			p.Crash()
+		}
 		resetConn(w)
 		return
 	case f.Mute:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -282,14 +282,6 @@
 	return out
 }
 
-// Listed reports whether the inventory contains this incarnation.
-func (f *Fleet) Listed(id string, incarnation int64) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	m := f.members[id]
-	return m != nil && m.Incarnation == incarnation
-}
-
 // Versions returns the versions of a service's upstreams that are not leaving.
 func (f *Fleet) Versions(service string) []string {
 	f.mu.Lock()
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 const (
@@ -35,6 +36,8 @@
 	maxMarks    = 8
 	// maxParts limits the parts of one prompt that a crash marks.
 	maxParts = 16
+	// maxCompletedParts limits the parts whose last completion is kept.
+	maxCompletedParts = 1024
 )
 
 // Key identifies content that requests have in common. The lowest bit is set for a
@@ -114,13 +117,20 @@
 	vm       string
 	suspects map[Key]*suspect
 	runs     unconfirmedRuns
-	stale    bool // the judgement is older than the marks
+	// completedAt is when a request with a part last completed: marks of earlier
+	// crashes may arrive later.
+	completedAt *simplelru.LRU[Key, time.Time]
+	stale       bool // the judgement is older than the marks
 }
 
 // New returns a core that suspects nothing. The name of the VM makes the VMs end
 // the block of some content one after the other.
 func New(vm string) *Core {
-	return &Core{vm: vm, suspects: make(map[Key]*suspect), runs: newUnconfirmedRuns()}
+	completedAt, err := simplelru.NewLRU[Key, time.Time](maxCompletedParts, nil)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &Core{vm: vm, suspects: make(map[Key]*suspect), runs: newUnconfirmedRuns(), completedAt: completedAt}
 }
 
 // Broken records that an upstream broke the connection of a run. It reports whether
@@ -146,14 +156,15 @@
 	return c.runs.add(now, unconfirmedRun{Run: r, crash: id, dropped: dropped})
 }
 
-// Confirm records that an incarnation no longer accepts connections or is no
-// longer listed: the connections that it broke before were broken by a crash. It
-// returns the number of runs that were confirmed.
+// Confirm records that an incarnation no longer accepts connections: the connections
+// that it broke shortly before were broken by a crash. It returns the number of runs
+// that were confirmed.
 func (c *Core) Confirm(now time.Time, upstream string, incarnation int64) int {
 	return c.confirm(now, crashOf(upstream, incarnation), now)
 }
 
 func (c *Core) confirm(now time.Time, id crashID, crashedAt time.Time) int {
+	c.runs.expire(now)
 	runs := c.runs.take(id)
 	if len(runs) == 0 {
 		return 0
@@ -170,12 +181,10 @@
 	return len(runs)
 }
 
-// ConfirmDelisted confirms the runs of incarnations that are no longer listed.
-func (c *Core) ConfirmDelisted(now time.Time, isListed func(upstream string, incarnation int64) bool) {
-	c.runs.expire(now)
-	for _, r := range c.runs.unlisted(isListed) {
-		c.Confirm(now, r.Upstream, r.Incarnation)
-	}
+// Alive records that an incarnation accepted a connection at a time: the
+// connections that it broke before were not broken by a crash.
+func (c *Core) Alive(at time.Time, upstream string, incarnation int64) {
+	c.runs.discard(crashOf(upstream, incarnation), at)
 }
 
 // markRun marks the content of a run. A run that this VM had dropped is marked only
@@ -201,6 +210,9 @@
 		c.suspects[k] = s
 	}
 	s.depth = max(s.depth, depth)
+	if completedAt, ok := c.completedAt.Get(k); ok && completedAt.After(m.crashedAt) {
+		m.cleared = true
+	}
 	if s.merge(m) {
 		s.changedAt, c.stale = now, true
 	}
@@ -210,6 +222,9 @@
 // upstreams.
 func (c *Core) Completed(now time.Time, keys []Key) {
 	for _, k := range keys {
+		if !k.whole() {
+			c.completedAt.Add(k, now)
+		}
 		s := c.suspects[k]
 		if s == nil {
 			continue
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -7,8 +7,8 @@
 
 const (
 	// maxConfirmTime is how long after a connection broke the upstream's end still
-	// counts as the cause. An entry is removed after a few missed heartbeats.
-	maxConfirmTime = 15 * time.Second
+	// counts as the cause.
+	maxConfirmTime = 3 * time.Second
 	// maxCrashDelay is how long after a run was dropped the upstream's crash may
 	// still be due to it.
 	maxCrashDelay = time.Second
@@ -69,16 +69,11 @@
 	return taken
 }
 
-// unlisted returns a run for each incarnation that broke a connection and is no
-// longer listed.
-func (u *unconfirmedRuns) unlisted(isListed func(upstream string, incarnation int64) bool) []unconfirmedRun {
-	var out []unconfirmedRun
-	for _, r := range u.list {
-		if !r.dropped && !isListed(r.Upstream, r.Incarnation) {
-			out = append(out, r)
-		}
-	}
-	return out
+// discard removes the runs that an incarnation broke before a time.
+func (u *unconfirmedRuns) discard(id crashID, before time.Time) {
+	u.list = slices.DeleteFunc(u.list, func(r unconfirmedRun) bool {
+		return !r.dropped && r.crash == id && r.EndedAt.Before(before)
+	})
 }
 
 func (u *unconfirmedRuns) recordCrash(now time.Time, id crashID, crashedAt time.Time) {
