--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -93,12 +93,14 @@
 func TestCompletedBeforeTheCrashIsKnown(t *testing.T) {
 	c, other := New("vm"), New("vm-2")
 	for i := range minCrashes {
-		crash(other, 2000*i, 2000*i-10, fmt.Sprint(i), []Key{shared, deadly})
+		crash(other, 2000*i, 2000*i-10, fmt.Sprint("a", i), []Key{shared})
+		crash(other, 2000*i, 2000*i-10, fmt.Sprint("b", i), []Key{deadly})
 		c.Completed(at(2000*i+1000), []Key{shared})
 	}
-	c.Merge(at(2000*minCrashes), other.Share(at(2000*minCrashes)))
-	assert.False(t, blocked(c, 2000*minCrashes, shared))
-	assert.True(t, blocked(c, 2000*minCrashes, deadly))
+	end := 2000 * minCrashes
+	c.Merge(at(end), other.Share(at(end)))
+	assert.False(t, blocked(c, end, shared))
+	assert.True(t, blocked(c, end, deadly))
 }
 
 // Guards against sound content that is blocked because it was running on several
