poison: TestOnlyCrashesCount shows again that crashes count

It now asserts that three refused connections in sequence block the content after as many breaks did not.

--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -69,6 +69,10 @@
 		assert.False(t, c.Broken(at(1000*i+10), run), "one check is enough")
 	}
 	assert.False(t, blocked(c, 6000, whole), "connections to healthy upstreams break, too")
+	for i := range minCrashes {
+		crash(c, 7000+1000*i, 6990+1000*i, fmt.Sprint("crashed", i), []Key{whole})
+	}
+	assert.True(t, blocked(c, 10_000, whole))
 }
 
 // Guards against sound content that is blocked because upstreams that broke
