edge: Error log lines say whether the VM is isolated and which request of its connection it was

Callers at VMs without a path to any upstream got 503 (RECOVER). The logs could not tell whether they came on kept connections, which no readiness check steers, or on new ones, because the VM was noticed too late. The log line of an error response now has 'isolated' and 'connRequests'.

--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -188,7 +188,7 @@
 func (a *App) serve(ctx context.Context) error {
 	callerServer := &http.Server{
 		Handler: a.proxy, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
+		BaseContext: func(net.Listener) context.Context { return context.WithoutCancel(ctx) }, ConnContext: withConnRequests,
 	}
 	readinessServer := &http.Server{Handler: a.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	servers := []struct {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -24,6 +24,9 @@
 	w     http.ResponseWriter
 	ctx   context.Context
 	req   *exchange.Request
+	// connRequests is the number of requests that the caller's connection has carried,
+	// with this one; zero if unknown.
+	connRequests int64
 	// blockedFor is how long requests with this content are not sent, if
 	// isContentBlocked.
 	blockedFor time.Duration
@@ -206,7 +209,8 @@
 	x.outcome = e.Code.Info().Name
 	x.status = e.Code.Info().HTTPStatus
 	klog.InfoS("request: responding with an error of this VM", "request", x.req.ID, "code", int(e.Code), "name", x.outcome, "run", e.Run,
-		"because", reason, "retryAfter", e.RetryAfter.Milliseconds(), "tries", len(x.tried))
+		"because", reason, "retryAfter", e.RetryAfter.Milliseconds(), "tries", len(x.tried),
+		"isolated", x.proxy.isolation.isIsolated(), "connRequests", x.connRequests)
 	x.proxy.writeError(x.w, x.req.ID, e)
 }
 
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -50,7 +50,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &requestState{proxy: s, w: w, ctx: r.Context(), req: &exchange.Request{ReceivedAt: time.Now()}, closeDelimited: !r.ProtoAtLeast(1, 1)}
+	x := &requestState{proxy: s, w: w, ctx: r.Context(), req: &exchange.Request{ReceivedAt: time.Now()}, closeDelimited: !r.ProtoAtLeast(1, 1), connRequests: countConnRequest(r.Context())}
 	if s.stop.Load() != nil || s.isolation.isIsolated() {
 		w.Header().Set("Connection", "close")
 	}
