--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -66,6 +66,9 @@
 	// LoadSettings reads the settings again; Reload requests it. Both may be nil.
 	LoadSettings func() (*vm.Settings, error) `optional:"true"`
 	Reload       ReloadSignal                 `optional:"true"`
+	// DialUpstream opens the connections to upstreams; nil for TCP with this package's
+	// timeouts.
+	DialUpstream DialFunc `optional:"true"`
 	// MetricsAddress is the listen address of the metrics endpoint; empty
 	// disables it.
 	MetricsAddress string `name:"metrics"`
@@ -89,8 +92,12 @@
 	b := o.Settings.Bounds
 	start := time.Now().UnixMilli()
 	self := gossip.Member{Name: o.Settings.Name, Incarnation: start}
+	dial := o.DialUpstream
+	if dial == nil {
+		dial = newDialer(upstreamDialTimeout).DialContext
+	}
 	s := &Proxy{
-		ingress: o.Ingress, protocol: o.Protocol, transport: newUpstreamTransport(), metrics: o.Metrics,
+		ingress: o.Ingress, protocol: o.Protocol, transport: newUpstreamTransport(dial), dialUpstream: dial, metrics: o.Metrics,
 		fleet: fleet.New(fleet.Config{
 			VM: o.Settings.Name, Zone: o.Settings.Zone, RegionByZone: o.Settings.RegionByZone, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack,
 		}),
--- a/internal/edge/isolation.go
+++ b/internal/edge/isolation.go
@@ -96,7 +96,6 @@
 func (s *Proxy) probeWhileIsolated(ctx context.Context) {
 	tick := time.NewTicker(probeInterval)
 	defer tick.Stop()
-	d := newDialer(upstreamDialTimeout)
 	for {
 		select {
 		case <-ctx.Done():
@@ -109,7 +108,7 @@
 		addresses := s.fleet.UsableAddresses(time.Now())
 		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 		for _, a := range addresses[:min(maxProbesPerRound, len(addresses))] {
-			conn, err := d.DialContext(ctx, "tcp", a)
+			conn, err := s.dialUpstream(ctx, "tcp", a)
 			if err != nil {
 				continue // still unreachable
 			}
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -35,12 +35,14 @@
 	ingress   Ingress
 	protocol  Protocol
 	transport http.RoundTripper
-	fleet     *fleet.Fleet
-	budget    *retrybudget.Budget
-	metrics   *Metrics
-	config    atomic.Pointer[routing.Config]
-	stop      atomic.Pointer[stopPlan] // nil until a planned stop begins
-	isolation isolation
+	// dialUpstream opens the connections to upstreams.
+	dialUpstream DialFunc
+	fleet        *fleet.Fleet
+	budget       *retrybudget.Budget
+	metrics      *Metrics
+	config       atomic.Pointer[routing.Config]
+	stop         atomic.Pointer[stopPlan] // nil until a planned stop begins
+	isolation    isolation
 
 	mu     sync.Mutex // guards canary, poison and gains
 	canary *canary.Core
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -30,7 +30,8 @@
 	vms       []*entryVM
 	version   int
 	grace     time.Duration
-	metrics   string // address; empty for none
+	metrics   string                   // address; empty for none
+	dial      map[string]edge.DialFunc // by VM; TCP for the others
 }
 
 // entryVM is one entry VM.
@@ -196,6 +197,7 @@
 	app := edge.New(edge.Options{
 		Settings: set, Ingress: platform.Ingress{}, Protocol: platform.ReplicaProtocol{}, Documents: platform.Documents{},
 		Source: platform.NewStoreClient(s.address, edge.StoreTransport(), metrics.ObserveStoreCall), Metrics: metrics, MetricsAddress: s.metrics,
+		DialUpstream: s.dial[name],
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	e := &entryVM{settings: set, stop: stop, done: make(chan error, 1)}
@@ -248,6 +250,12 @@
 
 // do sends the request to the first VM of s.vms.
 func (s *site) do(c call) callResult {
+	s.t.Helper()
+	return s.doAt(s.vms[0], c)
+}
+
+// doAt sends the request to a VM.
+func (s *site) doAt(e *entryVM, c call) callResult {
 	s.t.Helper()
 	if c.method == "" {
 		c.method = http.MethodPost
@@ -258,7 +266,7 @@
 	if c.ctx == nil {
 		c.ctx = context.Background()
 	}
-	req, err := http.NewRequestWithContext(c.ctx, c.method, "http://"+s.vms[0].settings.CallerAddress+c.path, strings.NewReader(c.body))
+	req, err := http.NewRequestWithContext(c.ctx, c.method, "http://"+e.settings.CallerAddress+c.path, strings.NewReader(c.body))
 	require.NoError(s.t, err)
 	req.Host = host
 	req.Header.Set("X-Attempt-Id", c.id)
--- a/internal/edge/transport.go
+++ b/internal/edge/transport.go
@@ -51,12 +51,15 @@
 	}
 }
 
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // newUpstreamTransport returns a transport that opens a connection for each
 // attempt. A connection that is never reused can't be stale and can't carry the
 // late response to another request, and net/http never resends a request on it.
-func newUpstreamTransport() *http.Transport {
+func newUpstreamTransport(dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:        newDialer(upstreamDialTimeout).DialContext,
+		DialContext:        dial,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 		WriteBufferSize:    4 << 10,
