edge: Forward requests to another VM while no upstream of their service is reachable

Cause: a VM knew one path for a request, its own connections to upstreams. Reporting not ready steers new connections only, and none while under half of a zone is ready; kept connections stay. Class of fault: a VM takes the loss of its own links for the end of the service, although the fleet can serve.

A planned stop completes forwarded requests, too. The header is refused from callers (1016).

Failed tries: three failed upstreams before a service counts as unreachable (504 for unsafe requests after three dial timeouts); only counting upstreams, without the case that a request has none left to try (the first request after a cut was refused, since a zone is put aside after two failures).

--- a/internal/edge/adapter.go
+++ b/internal/edge/adapter.go
@@ -23,6 +23,10 @@
 	// SetRequestID sets the request's ID in the headers of a response that this
 	// VM generates itself.
 	SetRequestID(h http.Header, requestID string)
+	// ForwardHeader returns the header with which a caller's request is forwarded to
+	// another VM, given the time that is left and the last event that the caller has
+	// received.
+	ForwardHeader(caller http.Header, timeout time.Duration, resumeAfter string) http.Header
 }
 
 // Protocol encodes attempts as HTTP requests to upstreams and decodes the heads
--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -80,6 +80,8 @@
 	proxy    *Proxy
 	follower *Follower
 	start    int64 // start time, in Unix milliseconds
+	// peerServer serves the other VMs; nil if no address for them is configured.
+	peerServer *http.Server
 }
 
 // incarnationName identifies an incarnation of a VM by its name and start time.
@@ -105,6 +107,8 @@
 		canary: canary.New(incarnationName(self), b.ExposureShare, b.SessionTTL),
 		poison: poison.New(o.Settings.Name),
 		gains:  modelchoice.NewGains(),
+
+		forwarder: newForwarder(o.Settings.Name, o.Settings.Zone, o.Settings.RegionByZone),
 	}
 	follower := NewFollower(s, o, time.Now())
 	o.Metrics.registerGauges(s, follower)
@@ -130,7 +134,7 @@
 	for _, w := range watchers {
 		background.Go(func() { w.Run(backgroundCtx) })
 	}
-	background.Go(func() { a.proxy.probeWhileIsolated(backgroundCtx) })
+	background.Go(func() { a.proxy.probeUnreachable(backgroundCtx) })
 	liveInZone, err := a.startGossip(backgroundCtx, &background)
 	if err != nil {
 		return err
@@ -165,7 +169,7 @@
 	}
 	background.Go(func() { peers.Run(ctx) })
 	background.Go(func() { a.follower.fetchFromPeers(ctx) })
-	if err := a.servePeerState(ctx); err != nil {
+	if err := a.servePeers(ctx); err != nil {
 		return nil, err
 	}
 	if a.options.LoadSettings != nil {
@@ -174,17 +178,21 @@
 	return peers.LiveInZone, nil
 }
 
-// servePeerState serves this VM's copy of the store to peers until ctx ends.
-func (a *App) servePeerState(ctx context.Context) error {
+// servePeers serves the other VMs until ctx ends: this VM's copy of the store, and the
+// requests that they forward.
+func (a *App) servePeers(ctx context.Context) error {
 	listener, err := listen(ctx, a.options.Settings.PeerAddress)
 	if err != nil {
 		return trace.Wrap(result.New(result.AddressInUse, "cannot listen on %s: %v", a.options.Settings.PeerAddress, err))
 	}
-	server := &http.Server{Handler: a.follower.stateHandler(), ReadHeaderTimeout: readHeaderTimeout}
-	context.AfterFunc(ctx, func() { _ = server.Close() }) // no graceful shutdown: peers then send their requests to other VMs
+	server := &http.Server{
+		Handler: a.proxy.forwardedHandler(a.follower.stateHandler()), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * maxHeaderBytes,
+	}
+	a.peerServer = server
+	context.AfterFunc(ctx, func() { _ = server.Close() }) // shutDown has let forwarded requests complete
 	go func() {
 		if err := ignoreServerClosed(server.Serve(listener)); err != nil {
-			klog.InfoS("peers: state no longer served", "err", logs.Err(err))
+			klog.InfoS("peers: no longer served", "err", logs.Err(err))
 		}
 	}()
 	return nil
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -25,10 +24,16 @@
 	errStreamStalled   = errors.New("no stream event within the stall timeout")
 )
 
-// attempt is one try of a request at one upstream, from the pick to the outcome.
+// attempt is one try of a request at one upstream, from the pick to the outcome, or at
+// another VM.
 type attempt struct {
-	state         *requestState
-	pick          *fleet.Pick
+	state *requestState
+	pick  *fleet.Pick // nil if the request is forwarded to another VM
+	// vm is the VM to which the request is forwarded; empty for an attempt at an
+	// upstream.
+	vm string
+	// finalError is true if the response is that VM's own error response.
+	finalError    bool
 	model         string
 	startedAt     time.Time
 	head          *exchange.Head
@@ -80,8 +85,12 @@
 	resp, err := x.proxy.transport.RoundTrip(req) //nolint:bodyclose // closed by release
 	if err != nil {
 		a.recordNoResponse(err)
+		if a.attemptStatus == exchange.NotSent {
+			x.proxy.recordDialFailure(pick, x.req.Service.Name)
+		}
 		return a
 	}
+	x.proxy.recordContact(x.req.Service.Name, a.startedAt)
 	a.body, a.framing = resp.Body, framingOf(resp)
 	a.head = x.proxy.protocol.DecodeHead(resp, details)
 	a.attemptStatus = a.head.AttemptStatus
@@ -118,8 +127,7 @@
 	if cause := context.Cause(a.ctx); cause != nil {
 		a.err = cause
 	}
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if isDialError(err) {
 		a.attemptStatus = exchange.NotSent
 		a.disconnected = false
 	}
--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -30,12 +30,11 @@
 // where the route allows it.
 func (x *requestState) serveBuffered() {
 	for {
-		pick, reason := x.pick("")
-		if pick == nil {
+		a, reason := x.nextAttempt("", x.req.Model, x.headTimeout)
+		if a == nil {
 			x.respondNoUpstream(reason)
 			return
 		}
-		a := x.sendAttempt(pick, x.req.Model, x.headTimeout(pick))
 		if x.deliver(a) {
 			return
 		}
@@ -69,6 +68,9 @@
 // deliver forwards a complete response. It returns false if there is none, or
 // if the response is a failure that another upstream might not have.
 func (x *requestState) deliver(a *attempt) bool {
+	if a.finalError {
+		return x.passFinalError(a)
+	}
 	if a.attemptStatus != exchange.Answered || !a.head.Usable() {
 		return false
 	}
@@ -77,7 +79,7 @@
 		return false
 	}
 	resp := &response{head: a.head, body: body}
-	if a.head.Status >= http.StatusInternalServerError && x.mayRetryFailure() {
+	if a.head.Status >= http.StatusInternalServerError && a.vm == "" && x.mayRetryFailure() {
 		x.fallback = resp
 		return false
 	}
--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -12,8 +12,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-
-	"github.com/cranberrypier/cranberrypier/internal/edge"
 )
 
 // cutDialer dials upstreams until a cut begins.
@@ -44,12 +42,14 @@
 	return nil, &net.OpError{Op: "dial", Net: network, Err: err}
 }
 
+// cutFirst makes the first VM reach upstreams only through the dialer.
+func (s *site) cutFirst(d *cutDialer) { s.dial["vm-1"] = d.dial }
+
 // newCutSite returns a site with VMs vm-1 to vm-n, of which the first few reach
 // upstreams only through the dialer.
 func newCutSite(t testing.TB, vms, cutVMs int, d *cutDialer) *site {
 	t.Helper()
 	s := newSite(t)
-	s.dial = make(map[string]edge.DialFunc)
 	for i := range cutVMs {
 		s.dial[fmt.Sprint("vm-", i+1)] = d.dial
 	}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -165,6 +165,7 @@
 	}
 	f.proxy.fleet.SetColdRates(rates)
 	f.proxy.config.Store(config)
+	f.proxy.forwarder.retainServices(func(name string) bool { return config.Services[name] != nil })
 	f.config.Store(&o)
 	f.readiness.configLoaded()
 	klog.InfoS("config: applied", "version", config.Version, "revision", o.Revision, "routes", config.RouteCount(), "keys", len(config.TeamsByKey))
--- a/internal/edge/isolation.go
+++ b/internal/edge/isolation.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,10 +14,10 @@
 	// for lack of an upstream.
 	minUnservedDuration = 500 * time.Millisecond
 	minUnservedRequests = 3
-	// probeInterval is the interval between probe rounds while the VM is
-	// isolated.
+	// probeInterval is the interval between probe rounds while a service is
+	// unreachable.
 	probeInterval = 500 * time.Millisecond
-	// maxProbesPerRound limits how many upstreams one probe round tries.
+	// maxProbesPerRound limits how many upstreams of a service one probe round tries.
 	maxProbesPerRound = 2
 )
 
@@ -89,32 +87,3 @@
 	}
 	return 0
 }
-
-// probeWhileIsolated connects to a few random upstreams in each interval while
-// the VM is isolated, until ctx ends. When no callers send requests, only a
-// probe can detect that upstreams are reachable again.
-func (s *Proxy) probeWhileIsolated(ctx context.Context) {
-	tick := time.NewTicker(probeInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		if !s.isolation.isIsolated() {
-			continue
-		}
-		addresses := s.fleet.UsableAddresses(time.Now())
-		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-		for _, a := range addresses[:min(maxProbesPerRound, len(addresses))] {
-			conn, err := s.dialUpstream(ctx, "tcp", a)
-			if err != nil {
-				continue // still unreachable
-			}
-			_ = conn.Close() // nothing was sent on it
-			s.isolation.recordReachable()
-			break
-		}
-	}
-}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -25,6 +25,7 @@
 	duration      *prometheus.HistogramVec
 	attempts      *prometheus.CounterVec
 	bodyEnds      *prometheus.CounterVec
+	forwards      *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	storeReasons  *prometheus.CounterVec
 	storeDuration *prometheus.HistogramVec
@@ -56,6 +57,9 @@
 		bodyEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pier_response_ends_total", Help: "Responses of upstreams by how they mark the end of their body, and how they ended.",
 		}, []string{"framing", "end"}),
+		forwards: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pier_forwards_total", Help: "Requests forwarded to other VMs by result.",
+		}, []string{"result"}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pier_store_calls_total", Help: "Calls to the platform's store by operation and outcome.",
 		}, []string{"operation", "outcome"}),
@@ -67,7 +71,7 @@
 		}, []string{"operation"}),
 		routes: labelSet{maxValues: maxRouteLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.storeCalls, m.storeReasons, m.storeDuration)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.forwards, m.storeCalls, m.storeReasons, m.storeDuration)
 	return m
 }
 
@@ -77,13 +81,14 @@
 		help string
 		read func() float64
 	}{
-		"pier_config_version":    {"Version of the configuration in force.", func() float64 { return float64(s.configVersion()) }},
-		"pier_upstreams":         {"Upstreams that are listed.", func() float64 { return float64(s.fleet.Len()) }},
-		"pier_known_vms":         {"Entry VMs that share the fleet-wide bounds.", func() float64 { return float64(s.fleet.VMCount()) }},
-		"pier_isolated":          {"1 while no upstream is in reach.", s.isolation.gauge},
-		"pier_blocked_contents":  {"Contents of requests that crash upstreams and are not sent.", s.blockedContents},
-		"pier_reads_store":       {"1 while this VM reads the store itself.", f.readsStoreGauge},
-		"pier_store_age_seconds": {"Age of the latest proof that nothing of the store is missing.", f.storeAgeGauge},
+		"pier_config_version":       {"Version of the configuration in force.", func() float64 { return float64(s.configVersion()) }},
+		"pier_upstreams":            {"Upstreams that are listed.", func() float64 { return float64(s.fleet.Len()) }},
+		"pier_known_vms":            {"Entry VMs that share the fleet-wide bounds.", func() float64 { return float64(s.fleet.VMCount()) }},
+		"pier_isolated":             {"1 while no upstream is in reach.", s.isolation.gauge},
+		"pier_unreachable_services": {"Services of which no upstream is in reach; their requests are forwarded.", func() float64 { return float64(len(s.forwarder.unreachableServices())) }},
+		"pier_blocked_contents":     {"Contents of requests that crash upstreams and are not sent.", s.blockedContents},
+		"pier_reads_store":          {"1 while this VM reads the store itself.", f.readsStoreGauge},
+		"pier_store_age_seconds":    {"Age of the latest proof that nothing of the store is missing.", f.storeAgeGauge},
 	}
 	for name, g := range gauges {
 		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: g.help}, g.read))
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -17,6 +17,8 @@
 		ConfigVersion:   s.configVersion,
 		Suspects:        s.suspects,
 		Departures:      s.fleet.RecentDepartures,
+		Unreachable:     s.forwarder.reportedServices,
+		Stopping:        func() bool { return s.stop.Load() != nil },
 		OnMessage:       s.applyMessage,
 		OnMembership:    s.setVMs,
 		IncarnationName: incarnationName,
@@ -37,6 +39,7 @@
 
 // applyMessage applies another VM's gossip message.
 func (s *Proxy) applyMessage(now time.Time, m gossip.Message) {
+	s.forwarder.recordReport(now, m)
 	if len(m.Suspects) == 0 {
 		s.fleet.SetRemoteLoads(now, m.From.Name, m.Loads)
 	}
@@ -61,6 +64,7 @@
 // setVMs sets the known VMs and the live incarnations.
 func (s *Proxy) setVMs(now time.Time, known []string, live map[string]bool) {
 	s.fleet.SetVMs(known)
+	s.forwarder.retain(known)
 	s.budget.SetVMCount(now, len(known))
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -27,6 +27,15 @@
 	// connRequests is the number of requests that the caller's connection has carried,
 	// with this one; zero if unknown.
 	connRequests int64
+	// callerHeader is the header of the request as it arrived.
+	callerHeader http.Header
+	// forwarded describes the request if another VM forwarded it; otherwise nil.
+	forwarded *forwardInfo
+	// elsewhere is true if this VM refuses a forwarded request that other VMs may serve.
+	elsewhere bool
+	// counted is true once the request is counted for the retry budget, by this VM or
+	// by the one that forwarded it.
+	counted bool
 	// blockedFor is how long requests with this content are not sent, if
 	// isContentBlocked.
 	blockedFor time.Duration
@@ -40,7 +49,7 @@
 	// attempt gets a better response.
 	fallback *response
 
-	tried         []string // upstreams of all attempts, including unreachable ones
+	tried         []string // upstreams and VMs of all attempts, including unreachable ones
 	sends         int      // attempts whose request may have reached an upstream
 	runs          int      // attempts that upstreams executed or may have executed
 	versionReason string   // reason of the version rule of the last pick, for the log
@@ -63,6 +72,26 @@
 	return x.ctx.Err() != nil && time.Now().Before(x.req.Deadline)
 }
 
+// nextAttempt sends the request to the next upstream, or to another VM while this one
+// reaches no upstream of the service. It returns nil if there is none. The upstream is
+// chosen for pickModel; empty for any.
+func (x *requestState) nextAttempt(pickModel, model string, headTimeout func(*fleet.Pick) time.Duration) (*attempt, fleet.Reason) {
+	if a := x.forward(); a != nil {
+		return a, ""
+	}
+	pick, reason := x.pick(pickModel)
+	if pick == nil && x.sends == 0 && len(x.tried) > 0 && (reason == fleet.NoneReachable || reason == fleet.NoneAllowed) {
+		x.proxy.recordExhausted(x.req.Service.Name)
+		if a := x.forward(); a != nil {
+			return a, ""
+		}
+	}
+	if pick == nil {
+		return nil, reason
+	}
+	return x.sendAttempt(pick, model, headTimeout(pick)), ""
+}
+
 // pick chooses an upstream for the next attempt.
 func (x *requestState) pick(model string) (*fleet.Pick, fleet.Reason) {
 	now := time.Now()
@@ -107,11 +136,25 @@
 // beginAttempt counts an attempt that is about to be sent.
 func (x *requestState) beginAttempt(a *attempt) {
 	x.tried = append(x.tried, a.pick.ID)
+	x.countForBudget()
 	x.proxy.recordAttemptStart(time.Now(), x.req, a.pick.Version)
 }
 
+// countForBudget counts the request for the retry budget, once for all VMs that it
+// passes.
+func (x *requestState) countForBudget() {
+	if !x.counted {
+		x.counted = true
+		x.proxy.budget.RecordRequest(x.req.ReceivedAt, x.req.Service.Name)
+	}
+}
+
 // finishAttempt counts a finished attempt.
 func (x *requestState) finishAttempt(a *attempt, upstreamOutcome fleet.Outcome) {
+	if a.vm != "" {
+		x.finishForward(a)
+		return
+	}
 	now := time.Now()
 	x.proxy.fleet.Done(now, a.pick, upstreamOutcome)
 	// Only a response of the upstream itself says anything about its version.
@@ -137,6 +180,9 @@
 	}
 	if !a.attemptStatus.NotRun() {
 		x.runs++
+		if a.vm != "" {
+			x.runs = max(x.runs, x.req.Route.MaxRuns) // the other VM may have used all of them
+		}
 	}
 	now := time.Now()
 	d := retry.Decide(retry.Facts{
@@ -211,6 +257,7 @@
 	klog.InfoS("request: responding with an error of this VM", "request", x.req.ID, "code", int(e.Code), "name", x.outcome, "run", e.Run,
 		"because", reason, "retryAfter", e.RetryAfter.Milliseconds(), "tries", len(x.tried),
 		"isolated", x.proxy.isolation.isIsolated(), "connRequests", x.connRequests)
+	x.markForwardResult(x.w.Header(), e)
 	x.proxy.writeError(x.w, x.req.ID, e)
 }
 
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -43,6 +43,7 @@
 	config       atomic.Pointer[routing.Config]
 	stop         atomic.Pointer[stopPlan] // nil until a planned stop begins
 	isolation    isolation
+	forwarder    *forwarder
 
 	mu     sync.Mutex // guards canary, poison and gains
 	canary *canary.Core
@@ -50,11 +51,22 @@
 	gains  *modelchoice.Gains
 }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. It serves the requests of callers.
 func (s *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &requestState{proxy: s, w: w, ctx: r.Context(), req: &exchange.Request{ReceivedAt: time.Now()}, closeDelimited: !r.ProtoAtLeast(1, 1), connRequests: countConnRequest(r.Context())}
+	x := s.newRequestState(w, r)
+	if r.Header.Get(forwardHeader) != "" {
+		x.respondError(result.New(result.ForwardNotAllowed, "only entry VMs may send the header %s", forwardHeader), "admission")
+		x.finishRequest()
+		return
+	}
+	x.serve(r)
+}
+
+// serve serves a request of a caller or one that another VM forwards.
+func (x *requestState) serve(r *http.Request) {
+	s := x.proxy
 	if s.stop.Load() != nil || s.isolation.isIsolated() {
-		w.Header().Set("Connection", "close")
+		x.w.Header().Set("Connection", "close")
 	}
 	if e := x.admit(r); e != nil {
 		x.respondError(e, "admission")
@@ -64,7 +76,6 @@
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithDeadline(r.Context(), x.req.Deadline)
 	defer cancel()
-	s.budget.RecordRequest(x.req.ReceivedAt, x.req.Service.Name)
 	if x.req.Route.Stream {
 		x.serveStream()
 	} else {
@@ -79,11 +90,16 @@
 	caller := s.ingress.DecodeCaller(r)
 	x.req = s.ingress.DecodeRequest(r)
 	x.req.ReceivedAt = arrived
+	x.callerHeader = r.Header
 	x.resumeAfter = x.req.ResumeAfter
 	config := s.config.Load()
 	if config == nil {
+		x.elsewhere = true
 		return result.New(result.NotReady, "no configuration is loaded yet")
 	}
+	if e := x.refuseForwarded(); e != nil {
+		return e
+	}
 	route := config.Lookup(r.Host, caller.Path)
 	if route == nil {
 		return result.New(result.UnknownPath, "no route for this host and path")
@@ -110,7 +126,7 @@
 	if x.req.Service == nil {
 		return result.New(result.NoUpstream, "the route's service is not configured")
 	}
-	return nil
+	return x.refuseForwarded()
 }
 
 // affinityKey returns the key that keeps the requests of a session on one
@@ -173,7 +189,7 @@
 	x.proxy.metrics.observeRequest(route, x.outcome, x.firstByte, took)
 	klog.InfoS("request: done", "request", x.req.ID, "route", route, "team", x.req.Team, "session", x.req.Session,
 		"outcome", x.outcome, "status", x.status, "tries", len(x.tried), "runs", x.runs,
-		"first", x.firstByte.Milliseconds(), "took", took.Milliseconds(), "config", x.proxy.configVersion())
+		"first", x.firstByte.Milliseconds(), "took", took.Milliseconds(), "config", x.proxy.configVersion(), "from", x.from())
 }
 
 func (s *Proxy) configVersion() uint64 {
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -27,6 +27,7 @@
 	address   string // of the store
 	replicas  map[string]*platformside.Replica
 	addresses map[string]string // of the replicas
+	servers   map[string]*httptest.Server
 	vms       []*entryVM
 	version   int
 	grace     time.Duration
@@ -68,7 +69,7 @@
 
 func newSite(t testing.TB) *site {
 	t.Helper()
-	s := &site{t: t, store: platformside.NewStore(), replicas: make(map[string]*platformside.Replica), addresses: make(map[string]string), grace: 100 * time.Millisecond}
+	s := &site{t: t, store: platformside.NewStore(), replicas: make(map[string]*platformside.Replica), addresses: make(map[string]string), servers: make(map[string]*httptest.Server), dial: make(map[string]edge.DialFunc), grace: 100 * time.Millisecond}
 	server := httptest.NewServer(s.store.Handler())
 	s.address = strings.TrimPrefix(server.URL, "http://")
 	t.Cleanup(server.CloseClientConnections)
@@ -128,6 +129,7 @@
 	server := httptest.NewServer(p)
 	s.t.Cleanup(server.CloseClientConnections)
 	s.replicas[id] = p
+	s.servers[id] = server
 	s.addresses[id] = strings.TrimPrefix(server.URL, "http://")
 	return p, server
 }
@@ -150,6 +152,16 @@
 	}
 }
 
+// closeClientConnections breaks the connections of the replicas whose ID begins with a
+// prefix.
+func (s *site) closeClientConnections(prefix string) {
+	for id, server := range s.servers {
+		if strings.HasPrefix(id, prefix) {
+			server.CloseClientConnections()
+		}
+	}
+}
+
 // runs lists the executions of a request on all replicas.
 func (s *site) runs(request string) []platformside.Run {
 	var out []platformside.Run
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -65,8 +66,19 @@
 	time.Sleep(min(shutdownDelay, plan.endsAt.Sub(begin)))
 	ctx, cancel := context.WithDeadline(context.Background(), plan.endsAt)
 	defer cancel()
-	if err := callerServer.Shutdown(ctx); err != nil {
+	var wait sync.WaitGroup
+	for _, server := range []*http.Server{callerServer, a.peerServer} {
+		if server != nil {
+			wait.Go(func() { completeRequests(ctx, server) })
+		}
+	}
+	wait.Wait()
+}
+
+// completeRequests lets the in-flight requests of a server complete until ctx ends.
+func completeRequests(ctx context.Context, server *http.Server) {
+	if err := server.Shutdown(ctx); err != nil {
 		klog.InfoS("process: in-flight requests aborted, because the shutdown timeout has passed", "err", logs.Err(err))
-		_ = callerServer.Close() // the shutdown timeout has passed
+		_ = server.Close() // the shutdown timeout has passed
 	}
 }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -40,12 +40,11 @@
 func (x *requestState) serveStream() {
 	st := &streamState{requestState: x, plan: x.proxy.planModels(x.req), controller: http.NewResponseController(x.w)}
 	for {
-		pick, reason := x.pick(st.plan.model)
-		if pick == nil {
+		a, reason := x.nextAttempt(st.plan.model, st.plan.model, st.streamHeadTimeout)
+		if a == nil {
 			st.endWithoutUpstream(reason)
 			return
 		}
-		a := x.sendAttempt(pick, st.plan.model, st.streamHeadTimeout(pick))
 		result := st.forwardAttempt(a)
 		a.release(st.upstreamOutcome(a, result))
 		if result == streamDone {
@@ -94,6 +93,12 @@
 
 // forwardAttempt forwards the response of an attempt to the caller.
 func (st *streamState) forwardAttempt(a *attempt) streamResult {
+	if a.finalError {
+		if st.headSent || !st.passFinalError(a) {
+			return streamBroken
+		}
+		return streamDone
+	}
 	if a.attemptStatus != exchange.Answered || !a.head.Usable() {
 		return streamBroken
 	}
@@ -101,7 +106,7 @@
 		return st.handleErrorResponse(a)
 	}
 	if !st.headSent {
-		if st.plan.tryEscalate(st.requestState, a) {
+		if a.vm == "" && st.plan.tryEscalate(st.requestState, a) {
 			return streamEscalated
 		}
 		st.sendHead(a)
@@ -119,7 +124,7 @@
 		return streamBroken
 	}
 	resp := &response{head: a.head, body: body}
-	if a.head.Status >= http.StatusInternalServerError && st.mayRetryFailure() {
+	if a.head.Status >= http.StatusInternalServerError && a.vm == "" && st.mayRetryFailure() {
 		st.fallback = resp
 		return streamBroken
 	}
@@ -164,7 +169,7 @@
 		if !st.write(events.bytes) {
 			return streamDone
 		}
-		if a.pace.record(time.Now(), events.count); a.pace.eventsAfterFirst >= pacedEvents {
+		if a.pace.record(time.Now(), events.count); a.vm == "" && a.pace.eventsAfterFirst >= pacedEvents {
 			a.recordPace(time.Now())
 		}
 		if events.lastID != "" {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -268,14 +268,14 @@
 	return len(f.members)
 }
 
-// UsableAddresses returns the addresses of the upstreams that may receive requests
-// now.
-func (f *Fleet) UsableAddresses(now time.Time) []string {
+// UsableAddresses returns the addresses of a service's upstreams that may receive
+// requests now; of all services if the name is empty.
+func (f *Fleet) UsableAddresses(now time.Time, service string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []string
 	for _, m := range f.members {
-		if f.usable(m) && !now.Before(m.pausedUntil) {
+		if (service == "" || m.Service == service) && f.usable(m) && !now.Before(m.pausedUntil) {
 			out = append(out, m.Address)
 		}
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -50,6 +50,10 @@
 	// StoreTroubleMS is the time in milliseconds, at least 1, since a VM of From's
 	// zone last tried to read the store without success; zero if none did lately.
 	StoreTroubleMS int64 `cbor:"9,keyasint,omitempty"`
+	// Unreachable are services of which From reaches no upstream.
+	Unreachable []string `cbor:"11,keyasint,omitempty"`
+	// Stopping is true if From is about to stop.
+	Stopping bool `cbor:"12,keyasint,omitempty"`
 }
 
 const (
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -153,6 +153,8 @@
 			Departures:      func(time.Time) []fleet.Departure { return []fleet.Departure{{Upstream: "u2", Incarnation: 4}} },
 			Digest:          func(time.Time) *relay.Digest { return &relay.Digest{AgeMS: 3, Revisions: []uint64{1, 9}} },
 			StoreTrouble:    func(time.Time) (time.Duration, bool) { return 20 * time.Millisecond, true },
+			Unreachable:     func() []string { return []string{"s"} },
+			Stopping:        func() bool { return true },
 			OnMessage:       func(_ time.Time, m Message) { received <- m },
 			OnMembership:    func(_ time.Time, l []string, _ map[string]bool) { known <- l },
 			IncarnationName: func(m Member) string { return m.Name },
@@ -172,6 +174,8 @@
 		assert.Equal(t, &relay.Digest{AgeMS: 3, Revisions: []uint64{1, 9}}, m.Digest)
 		assert.Equal(t, int64(20), m.StoreTroubleMS)
 		assert.Equal(t, []fleet.Departure{{Upstream: "u2", Incarnation: 4}}, m.Departures)
+		assert.Equal(t, []string{"s"}, m.Unreachable)
+		assert.True(t, m.Stopping)
 		return loads["vm-0"] && loads["vm-1"] && rollOuts["vm-0"] && rollOuts["vm-1"]
 	}, 5*time.Second, time.Millisecond)
 	require.Eventually(t, func() bool { return len(<-known) == 2 }, 5*time.Second, time.Millisecond)
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -58,6 +58,10 @@
 	ConfigVersion func() uint64
 	Suspects      func(now time.Time) []poison.Suspect
 	Departures    func(now time.Time) []fleet.Departure
+	// Unreachable returns the services of which this VM reaches no upstream.
+	Unreachable func() []string
+	// Stopping reports whether this VM is about to stop.
+	Stopping func() bool
 	// Digest returns the digest of this VM's copy of the store; nil before the copy
 	// was first confirmed.
 	Digest func(now time.Time) *relay.Digest
@@ -216,7 +220,7 @@
 func (s *Service) round(now time.Time, loads []fleet.VMLoad, withMembers bool) {
 	m := Message{
 		From: s.self, Loads: loads, ConfigVersion: s.callbacks.ConfigVersion(), Digest: s.callbacks.Digest(now),
-		Departures: s.callbacks.Departures(now),
+		Departures: s.callbacks.Departures(now), Unreachable: s.callbacks.Unreachable(), Stopping: s.callbacks.Stopping(),
 	}
 	if age, ok := s.callbacks.StoreTrouble(now); ok {
 		m.StoreTroubleMS = max(age.Milliseconds(), 1)
@@ -231,7 +235,7 @@
 		s.reportMembership(now)
 		m.RollOuts = s.callbacks.RollOuts(now)
 		if suspects := s.callbacks.Suspects(now); len(suspects) > 0 {
-			s.sendTo(targets, Message{From: s.self, Suspects: suspects})
+			s.sendTo(targets, Message{From: s.self, Suspects: suspects, Unreachable: m.Unreachable, Stopping: m.Stopping})
 		}
 	}
 	s.sendTo(targets, m)
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -29,6 +29,8 @@
 	SessionInvalid       Code = 1013
 	DeadlineMalformed    Code = 1014
 	BodyTimeout          Code = 1015
+	// ForwardNotAllowed: a caller sent a header that only entry VMs may send.
+	ForwardNotAllowed Code = 1016
 )
 
 // Codes of admission and capacity (1100 to 1199).
@@ -139,6 +141,7 @@
 	SessionInvalid:          {"session_invalid", http.StatusBadRequest, NotRun, 0},
 	DeadlineMalformed:       {"deadline_malformed", http.StatusBadRequest, NotRun, 0},
 	BodyTimeout:             {"body_timeout", http.StatusRequestTimeout, NotRun, time.Second},
+	ForwardNotAllowed:       {"forward_not_allowed", http.StatusBadRequest, NotRun, 0},
 
 	TeamOverLimit:    {"team_over_limit", http.StatusTooManyRequests, NotRun, time.Second},
 	Overloaded:       {"overloaded", http.StatusServiceUnavailable, NotRun, time.Second},
