poison: A VM that lost its links does not take upstreams for crashed

Callers of sound content got 1110 from all VMs, for a minute or more, after some VMs had lost their links to the upstreams with resets: there, each broken connection followed by a refused one looked like a crash, and the marks were told to the VMs that still reached the upstreams.

Cause, the same class: a VM takes the loss of its own links for a failure of the upstreams.

Change: an upstream that responds to any VM on a connection begun within a second after the supposed crash refutes it (poison.Contact; the marks are cleared, and VMs share that). While a VM reaches no upstream of the service, a refused connection confirms nothing. A connection that was accepted counts as a contact of the service even if no response came.

Failed try: without counting accepted connections as contacts, TestPoisonRequest failed (two upstreams that crash in a row made the service unreachable, and the third crash did not count).

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -85,14 +85,18 @@
 	resp, err := x.proxy.transport.RoundTrip(req) //nolint:bodyclose // closed by release
 	if err != nil {
 		a.recordNoResponse(err)
-		if a.attemptStatus == exchange.NotSent {
+		switch {
+		case a.attemptStatus == exchange.NotSent:
 			x.proxy.recordDialFailure(pick, x.req.Service.Name)
+		case a.disconnected: // after it had accepted the connection
+			x.proxy.recordContact(x.req.Service.Name, a.startedAt)
 		}
 		return a
 	}
 	x.proxy.recordContact(x.req.Service.Name, a.startedAt)
 	a.body, a.framing = resp.Body, framingOf(resp)
 	a.head = x.proxy.protocol.DecodeHead(resp, details)
+	x.proxy.recordAlive(a)
 	a.attemptStatus = a.head.AttemptStatus
 	a.timeToHead = time.Since(a.startedAt)
 	x.proxy.isolation.recordReachable()
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -51,7 +51,7 @@
 	case a.disconnected:
 		s.recordDisconnect(now, a, run)
 	case a.attemptStatus == exchange.NotSent && errors.Is(a.err, syscall.ECONNREFUSED):
-		s.confirmCrash(now, a.pick.ID, a.pick.Incarnation)
+		s.confirmCrash(now, a)
 	case a.completed():
 		s.mu.Lock()
 		s.poison.Completed(now, run.Keys)
@@ -62,7 +62,7 @@
 		check := a.bodyRead && a.framing == framedByClose && s.poison.CheckDue(now, run.Upstream, run.Incarnation)
 		s.mu.Unlock()
 		if check {
-			go s.checkCrashed(a.pick.Address, run.Upstream, run.Incarnation)
+			go s.checkCrashed(a)
 		}
 	}
 }
@@ -82,30 +82,46 @@
 	check := s.poison.Broken(now, run)
 	s.mu.Unlock()
 	if check {
-		go s.checkCrashed(a.pick.Address, run.Upstream, run.Incarnation)
+		go s.checkCrashed(a)
 	}
 }
 
-// checkCrashed connects to an upstream that broke a connection. Only a process
-// that has ended refuses connections.
-func (s *Proxy) checkCrashed(address, upstream string, incarnation int64) {
+// recordAlive records that the upstream of an attempt responded.
+func (s *Proxy) recordAlive(a *attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.poison.Contact(time.Now(), a.startedAt, a.pick.ID, a.pick.Incarnation)
+}
+
+// checkCrashed connects to the upstream of an attempt, which broke the connection. Only
+// a process that has ended refuses connections.
+func (s *Proxy) checkCrashed(a *attempt) {
 	ctx, cancel := context.WithTimeout(context.Background(), upstreamDialTimeout)
 	defer cancel()
-	conn, err := newDialer(upstreamDialTimeout).DialContext(ctx, "tcp", address)
+	begunAt := time.Now()
+	conn, err := s.dialUpstream(ctx, "tcp", a.pick.Address)
 	if err == nil {
 		_ = conn.Close() // nothing was sent on it
+		s.recordContact(a.state.req.Service.Name, begunAt)
 		s.mu.Lock()
-		s.poison.Alive(time.Now(), upstream, incarnation)
+		s.poison.Alive(time.Now(), a.pick.ID, a.pick.Incarnation)
 		s.mu.Unlock()
 		return
 	}
+	s.recordDialFailure(a.pick, a.state.req.Service.Name)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		s.confirmCrash(time.Now(), upstream, incarnation)
+		s.confirmCrash(time.Now(), a)
 	}
 }
 
-// confirmCrash records that an upstream refuses connections.
-func (s *Proxy) confirmCrash(now time.Time, upstream string, incarnation int64) {
+// confirmCrash records that the upstream of an attempt refuses connections. While this
+// VM reaches no upstream of the service, its own link is the likelier reason.
+func (s *Proxy) confirmCrash(now time.Time, a *attempt) {
+	upstream, incarnation := a.pick.ID, a.pick.Incarnation
+	if s.forwarder.unreachable(a.state.req.Service.Name) {
+		klog.InfoS("poison: a refused connection shows no crash, because no upstream of the service is reachable", "upstream", upstream, "born", incarnation)
+		return
+	}
 	s.mu.Lock()
 	runs := s.poison.Confirm(now, upstream, incarnation)
 	s.mu.Unlock()
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -198,3 +198,27 @@
 	assert.LessOrEqual(t, c.crashCount(), 2*maxCrashes)
 	assert.GreaterOrEqual(t, served, sound*9/10, "sound requests of the route")
 }
+
+// Guards against sound requests that are refused, because a VM lost its path to the
+// upstreams again and again, which looks there like crashes.
+func TestLostPathBlocksSoundContent(t *testing.T) {
+	d := &cutDialer{}
+	s := newCutSite(t, 2, 1, d)
+	s.setFaults("o", platformside.ReplicaFaults{Delay: 200 * time.Millisecond})
+	for i := range 3 {
+		done := make(chan callResult, 1)
+		go func() { done <- s.do(call{id: fmt.Sprint("broken-", i), path: "/once/x", key: key, body: "sound"}) }()
+		time.Sleep(100 * time.Millisecond)
+		d.cut.Store(true)
+		s.closeClientConnections("o")
+		assert.Equal(t, 502, (<-done).status)
+		for j := range 6 { // the other VM reaches all upstreams
+			assert.Equal(t, 200, s.doAt(s.vms[1], call{id: fmt.Sprint("other-", i, j), path: "/once/x", key: key, body: fmt.Sprint(j)}).status)
+		}
+		d.cut.Store(false)
+		time.Sleep(time.Second) // the VMs hear of each other's crashes and contacts
+	}
+	for vm := range 2 {
+		assert.Equal(t, 200, s.doAt(s.vms[vm], call{id: fmt.Sprint("sound-", vm), path: "/once/x", key: key, body: "sound"}).status, "VM %d", vm)
+	}
+}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -7,6 +7,7 @@
 // them are sound and only happened to be there, so:
 //
 //   - A request that completes clears the marks of its content.
+//   - An upstream that responds to any VM right after a crash was seen has not crashed.
 //   - Marks of runs that were under way together count as one. Otherwise a loss of
 //     several upstreams at once would mark whatever is sent often.
 //   - Crashes that blocked content explains do not count for other content.
@@ -92,7 +93,8 @@
 	// ran is how long the response had been under way. It is kept in place of a
 	// time, because it is the same on all VMs.
 	ran time.Duration
-	// cleared is set once a request with the content has completed after the crash.
+	// cleared is set once a request with the content has completed after the crash, or
+	// a VM knows that there was no crash.
 	cleared bool
 }
 
@@ -120,7 +122,9 @@
 	// completedAt is when a request with a part last completed: marks of earlier
 	// crashes may arrive later.
 	completedAt *simplelru.LRU[Key, time.Time]
-	stale       bool // the judgement is older than the marks
+	// contactAt is when the last connection on which an incarnation responded was begun.
+	contactAt *simplelru.LRU[crashID, time.Time]
+	stale     bool // the judgement is older than the marks
 }
 
 // New returns a core that suspects nothing. The name of the VM makes the VMs end
@@ -130,7 +134,11 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Core{vm: vm, suspects: make(map[Key]*suspect), runs: newUnconfirmedRuns(), completedAt: completedAt}
+	contactAt, err := simplelru.NewLRU[crashID, time.Time](maxContacts, nil)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &Core{vm: vm, suspects: make(map[Key]*suspect), runs: newUnconfirmedRuns(), completedAt: completedAt, contactAt: contactAt}
 }
 
 // Broken records that an upstream broke the connection of a run. It reports whether
@@ -210,7 +218,7 @@
 		c.suspects[k] = s
 	}
 	s.depth = max(s.depth, depth)
-	if completedAt, ok := c.completedAt.Get(k); ok && completedAt.After(m.crashedAt) {
+	if completedAt, ok := c.completedAt.Get(k); ok && completedAt.After(m.crashedAt) || c.refuted(m) {
 		m.cleared = true
 	}
 	if s.merge(m) {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -233,3 +233,46 @@
 	c.judge(at(10_000_000))
 	assert.Empty(t, c.suspects)
 }
+
+// Guards against content that is blocked because some VMs lost their path to upstreams,
+// which looks like a crash of each of them there, while other VMs still reach them.
+func TestLostPathsLookLikeCrashes(t *testing.T) {
+	for name, sharedMS := range map[string]int{"contact before the marks arrive": 500, "contact after the marks arrive": 310} {
+		t.Run(name, func(t *testing.T) {
+			cut, sees := New("cut"), New("sees")
+			for i := range minCrashes {
+				crash(cut, 100*(i+1), 100*i+50, fmt.Sprint("u", i), []Key{shared})
+			}
+			assert.True(t, blocked(cut, sharedMS, shared), "by its own knowledge")
+			contact := func() {
+				for i := range minCrashes {
+					sees.Contact(at(450), at(400+i), fmt.Sprint("u", i), 1)
+				}
+			}
+			if sharedMS > 400 {
+				contact()
+				sees.Merge(at(sharedMS), cut.Share(at(sharedMS)))
+			} else {
+				sees.Merge(at(sharedMS), cut.Share(at(sharedMS)))
+				assert.True(t, blocked(sees, sharedMS, shared))
+				contact()
+			}
+			assert.False(t, blocked(sees, 501, shared))
+			cut.Merge(at(600), sees.Share(at(600)))
+			assert.False(t, blocked(cut, 601, shared))
+		})
+	}
+}
+
+// Guards against crashes that do not count because the upstream has started again, or
+// because it responded on a connection from before.
+func TestContactSaysNothingOfTheCrash(t *testing.T) {
+	c := New("vm")
+	for i := range minCrashes {
+		u, ms := fmt.Sprint("u", i), 5000*i+100
+		crash(c, ms, ms-50, u, []Key{deadly})
+		c.Contact(at(ms+5), at(ms-1), u, 1)
+		c.Contact(at(ms+2000), at(ms+2000), u, 1)
+	}
+	assert.True(t, blocked(c, 20_000, deadly))
+}
--- a/internal/poison/share.go
+++ b/internal/poison/share.go
@@ -30,7 +30,8 @@
 	// response had been under way by then.
 	AgeMS int64
 	RanMS int64
-	// Cleared is true if a request with the content completed after the crash.
+	// Cleared is true if the mark does not count: a request with the content completed
+	// after the crash, or there was no crash.
 	Cleared bool
 }
 
