edge: Show what ended each attempt at an upstream

Callers of the registry lost answers, and neither the log nor the metrics told whether the operating system gave up a silent connection, this VM's own timeout moved on, or the upstream closed: all ended as `answered` with an error text.

No change of logic.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -191,5 +191,5 @@
 		"model", a.model, "why", a.state.versionReason, "cost", int(a.pick.Cost), "candidates", a.pick.EligibleCount,
 		"uncached", a.pick.UncachedTokens, "expect", a.pick.ExpectedLatency.Milliseconds(), "firstByte", a.timeToHead.Milliseconds(),
 		"took", time.Since(a.startedAt).Milliseconds(), "fate", a.attemptStatus, "status", status, "confidence", confidence,
-		"events", a.pace.events, "interval", a.pace.interval().Milliseconds(), "framing", a.framing, "leftover", a.leftover, "end", upstreamOutcome, "err", logs.Err(a.err))
+		"events", a.pace.events, "interval", a.pace.interval().Milliseconds(), "framing", a.framing, "leftover", a.leftover, "end", upstreamOutcome, "cause", a.endCause(), "err", logs.Err(a.err))
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -25,6 +25,7 @@
 	duration      *prometheus.HistogramVec
 	attempts      *prometheus.CounterVec
 	bodyEnds      *prometheus.CounterVec
+	attemptEnds   *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	storeReasons  *prometheus.CounterVec
 	storeDuration *prometheus.HistogramVec
@@ -56,6 +57,9 @@
 		bodyEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pier_response_ends_total", Help: "Responses of upstreams by how they mark the end of their body, and how they ended.",
 		}, []string{"framing", "end"}),
+		attemptEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pier_attempt_ends_total", Help: "Attempts at upstreams by what ended them.",
+		}, []string{"cause"}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pier_store_calls_total", Help: "Calls to the platform's store by operation and outcome.",
 		}, []string{"operation", "outcome"}),
@@ -67,7 +71,7 @@
 		}, []string{"operation"}),
 		routes: labelSet{maxValues: maxRouteLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.storeCalls, m.storeReasons, m.storeDuration)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.storeCalls, m.storeReasons, m.storeDuration)
 	return m
 }
 
@@ -132,6 +136,7 @@
 
 func (m *Metrics) countAttempt(a *attempt) {
 	m.attempts.WithLabelValues(a.model, a.attemptStatus.String()).Inc()
+	m.attemptEnds.WithLabelValues(string(a.endCause())).Inc()
 	if a.framing != "" {
 		m.bodyEnds.WithLabelValues(string(a.framing), a.bodyEnd()).Inc()
 	}
