edge: Connections that carry requests outlast a silent peer

What callers saw: a stream or an answer ended although its upstream was sound and only silent for about a second.

Cause: connections to upstreams were given up 2 s after the last byte, after a single unanswered probe (TestSilentPeerLosesItsConnection: quiet for 0.51 s, silent for 0.5 s; callers' connections: quiet for 4.96 s, silent for 1.05 s). Set were probes each 0.5 s; Linux counts their interval in whole seconds.

maxPeerSilence (2 s) is the silence that is allowed. The time after which a connection is given up is the probe delay, this silence and one interval of probes: 4 s for upstreams, 8 s for callers. Connections to the store and to peers keep their 2 s, since their calls are repeated. A real cut costs no more than before where a request may be sent again: the stall and head timeouts of a resumable or safe request come first.

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -91,7 +91,7 @@
 func (s *Proxy) checkCrashed(address, upstream string, incarnation int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), upstreamDialTimeout)
 	defer cancel()
-	conn, err := newDialer(upstreamDialTimeout).DialContext(ctx, "tcp", address)
+	conn, err := newUpstreamDialer().DialContext(ctx, "tcp", address)
 	if err == nil {
 		_ = conn.Close() // nothing was sent on it
 		s.mu.Lock()
--- a/internal/edge/isolation.go
+++ b/internal/edge/isolation.go
@@ -96,7 +96,7 @@
 func (s *Proxy) probeWhileIsolated(ctx context.Context) {
 	tick := time.NewTicker(probeInterval)
 	defer tick.Stop()
-	d := newDialer(upstreamDialTimeout)
+	d := newUpstreamDialer()
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/edge/peerstate.go
+++ b/internal/edge/peerstate.go
@@ -96,7 +96,7 @@
 // newStateClient returns the HTTP client for state requests to peers.
 func newStateClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DisableKeepAlives: true, DialContext: newDialer(peerTimeout).DialContext, MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		DisableKeepAlives: true, DialContext: newControlDialer(peerTimeout).DialContext, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
--- a/internal/edge/transport.go
+++ b/internal/edge/transport.go
@@ -10,6 +10,11 @@
 	"golang.org/x/sys/unix"
 )
 
+// maxPeerSilence is how long an upstream, a caller or the network may be silent
+// without an end of the requests on the connection. Each limit that ends a request's
+// connection or attempt allows it, wherever the silence begins.
+const maxPeerSilence = 2 * time.Second
+
 // Connection timeouts. A partition that drops packets silently is detected only
 // by these.
 const (
@@ -18,13 +23,16 @@
 	upstreamDialTimeout = 200 * time.Millisecond
 	// storeDialTimeout limits connecting to the store.
 	storeDialTimeout = time.Second
-	// keepAliveIdle, keepAliveInterval and keepAliveCount configure TCP
-	// keep-alive probes, which detect an unresponsive connection within 2 s.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 2
-	// tcpUserTimeout limits how long sent bytes may stay unacknowledged.
-	tcpUserTimeout = 2 * time.Second
+	// keepAliveInterval is the time between TCP keep-alive probes. Linux counts it
+	// in whole seconds.
+	keepAliveInterval = time.Second
+	// upstreamProbeDelay and callerProbeDelay are how long a connection is quiet
+	// before it is probed, also in whole seconds.
+	upstreamProbeDelay = time.Second
+	callerProbeDelay   = 5 * time.Second
+	// maxControlSilence limits the silence of connections whose calls are repeated,
+	// to the store and to peers.
+	maxControlSilence = 2 * time.Second
 	// maxResponseHeaderBytes limits the header of a response, and each interim
 	// response before it.
 	maxResponseHeaderBytes = 64 << 10
@@ -32,16 +40,39 @@
 	storeIdleTimeout = 30 * time.Second
 )
 
-// newDialer returns a dialer whose connections use TCP keep-alive probes and
-// tcpUserTimeout.
-func newDialer(timeout time.Duration) *net.Dialer {
+// giveUpTimeout returns how long a connection may be quiet, or sent bytes
+// unacknowledged, if its peer may be silent for maxPeerSilence from any moment on. A
+// silence that begins just before the first probe must end before the last one.
+func giveUpTimeout(probeDelay time.Duration) time.Duration {
+	return probeDelay + maxPeerSilence + keepAliveInterval
+}
+
+// keepAlive returns the probes of a connection that is given up after a timeout.
+func keepAlive(probeDelay, giveUp time.Duration) net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: probeDelay, Interval: keepAliveInterval, Count: int((giveUp - probeDelay) / keepAliveInterval)}
+}
+
+// newUpstreamDialer returns a dialer for connections that carry callers' requests.
+func newUpstreamDialer() *net.Dialer {
+	return newDialer(upstreamDialTimeout, giveUpTimeout(upstreamProbeDelay))
+}
+
+// newControlDialer returns a dialer for connections to the store and to peers.
+func newControlDialer(timeout time.Duration) *net.Dialer {
+	return newDialer(timeout, maxControlSilence)
+}
+
+// newDialer returns a dialer whose connections are given up after a time without any
+// sign of the peer. TCP_USER_TIMEOUT limits how long sent bytes may stay
+// unacknowledged, and replaces the number of probes as their limit.
+func newDialer(timeout, giveUp time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         timeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+		KeepAliveConfig: keepAlive(upstreamProbeDelay, giveUp),
 		Control: func(_, _ string, c syscall.RawConn) error {
 			var sockErr error
 			err := c.Control(func(fd uintptr) {
-				sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+				sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(giveUp.Milliseconds()))
 			})
 			if err != nil {
 				return err
@@ -56,7 +87,7 @@
 // late response to another request, and net/http never resends a request on it.
 func newUpstreamTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:        newDialer(upstreamDialTimeout).DialContext,
+		DialContext:        newUpstreamDialer().DialContext,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 		WriteBufferSize:    4 << 10,
@@ -70,7 +101,7 @@
 // store open.
 func newStoreTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         newDialer(storeDialTimeout).DialContext,
+		DialContext:         newControlDialer(storeDialTimeout).DialContext,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     storeIdleTimeout,
@@ -80,10 +111,8 @@
 }
 
 // listen opens a listener whose connections use TCP keep-alive probes. Idle
-// connections are probed later and less often than those of newDialer.
+// connections are probed later than those to upstreams.
 func listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: 5 * keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount,
-	}}
+	config := net.ListenConfig{KeepAliveConfig: keepAlive(callerProbeDelay, giveUpTimeout(callerProbeDelay))}
 	return config.Listen(ctx, "tcp", address)
 }
