--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -30,7 +30,9 @@
 	vms       []*entryVM
 	version   int
 	grace     time.Duration
-	metrics   string // address; empty for none
+	// bounds may change the bounds of the VMs that are started afterwards.
+	bounds  func(*vm.Bounds)
+	metrics string // address; empty for none
 }
 
 // entryVM is one entry VM.
@@ -189,6 +191,9 @@
 		},
 		Store: vm.Store{Address: s.address},
 	}
+	if s.bounds != nil {
+		s.bounds(&set.Bounds)
+	}
 	for _, other := range s.vms {
 		set.SeedAddresses = append(set.SeedAddresses, other.settings.PeerAddress)
 	}
--- a/internal/fake/platformside/replica.go
+++ b/internal/fake/platformside/replica.go
@@ -46,6 +46,9 @@
 	// DeadlyPart is a shared part of a prompt on which the replica crashes after the
 	// first event of its response; empty for none.
 	DeadlyPart string
+	// Pause is the time for which a stream pauses after the second event of the
+	// response.
+	Pause time.Duration
 	// Delay is the time to wait before the first byte of the response.
 	Delay time.Duration
 }
@@ -302,6 +305,9 @@
 			panic(http.ErrAbortHandler)
 		}
 		time.Sleep(p.EventInterval)
+		if id == lastReceived+2 {
+			time.Sleep(f.Pause)
+		}
 	}
 }
 
