edge: An attempt is canceled only once its successor is reserved

What callers saw: streams that were aborted with 4 to 9 s left to their deadline, though their upstream was sound and only silent; safe requests that failed with 502.

Cause: after a stall or head timeout the attempt was canceled first; a retry was taken from the budget, and an upstream picked, only afterwards. Where either was missing by then, nothing was left to wait for. With a silent upstream all its streams time out at about the same time and meet the same small budget.

After its timeout an attempt now goes on until the next one is reserved: an upstream is picked and the retry taken. A stream whose budget is empty at its start gets a timeout too, since the budget may return.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -58,8 +58,8 @@
 }
 
 // sendAttempt sends the request to the picked upstream and waits for the head
-// of the response, at most headTimeout. A headTimeout of zero waits until the
-// request's deadline.
+// of the response. After headTimeout it gives up once another upstream is reserved. A
+// headTimeout of zero waits until the request's deadline.
 func (x *requestState) sendAttempt(pick *fleet.Pick, model string, headTimeout time.Duration) *attempt {
 	a := &attempt{state: x, pick: pick, model: model, startedAt: time.Now()}
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
@@ -74,8 +74,8 @@
 		return a
 	}
 	if headTimeout > 0 {
-		timer := time.AfterFunc(headTimeout, func() { a.cancel(errHeadTimeout) })
-		defer timer.Stop()
+		patience := a.startPatience(headTimeout, errHeadTimeout)
+		defer patience.stop()
 	}
 	resp, err := x.proxy.transport.RoundTrip(req) //nolint:bodyclose // closed by release
 	if err != nil {
--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -30,7 +30,7 @@
 // where the route allows it.
 func (x *requestState) serveBuffered() {
 	for {
-		pick, reason := x.pick("")
+		pick, reason := x.nextPick("")
 		if pick == nil {
 			x.respondNoUpstream(reason)
 			return
@@ -51,21 +51,12 @@
 // another upstream is tried. Zero means until the request's deadline, because
 // the next run is the last one.
 func (x *requestState) headTimeout(p *fleet.Pick) time.Duration {
-	if x.nextRunIsLast() {
+	if !x.mayMoveOn() {
 		return 0
 	}
 	return max(targetLatencyTimeoutFactor*x.req.Route.TargetLatency, expectedTimeoutFactor*p.ExpectedLatency)
 }
 
-// nextRunIsLast reports whether the next run is the last one that is allowed. A
-// run is an attempt that the upstream executed or may have executed. The last
-// run may use all of the remaining time, since a shorter timeout could only lose
-// its response.
-func (x *requestState) nextRunIsLast() bool {
-	return x.req.Route.RetryPolicy != routing.Idempotent || x.runs+1 >= x.req.Route.MaxRuns ||
-		x.proxy.budget.Remaining(time.Now(), x.req.Service.Name) < 1
-}
-
 // deliver forwards a complete response. It returns false if there is none, or
 // if the response is a failure that another upstream might not have.
 func (x *requestState) deliver(a *attempt) bool {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -37,6 +37,11 @@
 	// attempt gets a better response.
 	fallback *response
 
+	// reserved is the next attempt, if it is ready already; pickedModel is the model
+	// of the latest pick.
+	reserved    *reservation
+	pickedModel string
+
 	tried         []string // upstreams of all attempts, including unreachable ones
 	sends         int      // attempts whose request may have reached an upstream
 	runs          int      // attempts that upstreams executed or may have executed
@@ -60,11 +65,12 @@
 	return x.ctx.Err() != nil && time.Now().Before(x.req.Deadline)
 }
 
-// pick chooses an upstream for the next attempt.
-func (x *requestState) pick(model string) (*fleet.Pick, fleet.Reason) {
+// pick chooses an upstream for the next attempt, without those to exclude.
+func (x *requestState) pick(model string, exclude []string) (*fleet.Pick, fleet.Reason) {
 	now := time.Now()
 	rule := x.proxy.versionRule(now, x.req)
 	q := x.query(model)
+	q.Exclude = exclude
 	q.AllowVersion = rule.Preferred
 	x.versionReason = rule.Reason
 	pick, reason := x.proxy.fleet.Pick(now, q)
@@ -144,10 +150,11 @@
 	if d == retry.Again && x.isContentBlocked() {
 		d = retry.ContentBlocked
 	}
-	if d == retry.Again && a.attemptStatus != exchange.NotSent && !x.proxy.budget.TryRetry(now, x.req.Service.Name) {
+	if d == retry.Again && x.reserved == nil && a.attemptStatus != exchange.NotSent && !x.proxy.budget.TryRetry(now, x.req.Service.Name) {
 		d = retry.BudgetExhausted
 	}
 	if d != retry.Again {
+		x.dropReservation()
 		klog.InfoS("retry: none", "request", x.req.ID, "because", d, "runs", x.runs, "tries", len(x.tried),
 			"left", x.req.Deadline.Sub(now).Milliseconds(), "budget", int(x.proxy.budget.Remaining(now, x.req.Service.Name)))
 	}
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -62,6 +62,7 @@
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithDeadline(r.Context(), x.req.Deadline)
 	defer cancel()
+	defer x.dropReservation()
 	s.budget.RecordRequest(x.req.ReceivedAt, x.req.Service.Name)
 	if x.req.Route.Stream {
 		x.serveStream()
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -40,7 +40,7 @@
 func (x *requestState) serveStream() {
 	st := &streamState{requestState: x, plan: x.proxy.planModels(x.req), controller: http.NewResponseController(x.w)}
 	for {
-		pick, reason := x.pick(st.plan.model)
+		pick, reason := x.nextPick(st.plan.model)
 		if pick == nil {
 			st.endWithoutUpstream(reason)
 			return
@@ -66,7 +66,7 @@
 // another upstream is tried. Zero means until the request's deadline, because
 // the next run is the last one.
 func (st *streamState) streamHeadTimeout(p *fleet.Pick) time.Duration {
-	if st.nextRunIsLast() {
+	if !st.mayMoveOn() {
 		return 0
 	}
 	return max(streamHeadTimeoutFactor*p.ExpectedLatency, st.req.Route.TargetLatency)
@@ -139,16 +139,16 @@
 // forwardEvents forwards events until the stream ends or breaks.
 func (st *streamState) forwardEvents(a *attempt) streamResult {
 	stallTimeout := st.stallTimeout()
-	var stallTimer *time.Timer
+	var stall *patience
 	if stallTimeout > 0 {
-		stallTimer = time.AfterFunc(stallTimeout, func() { a.cancel(errStreamStalled) })
-		defer stallTimer.Stop()
+		stall = a.startPatience(stallTimeout, errStreamStalled)
+		defer stall.stop()
 	}
 	reader := newEventReader(a.body)
 	for {
 		events, err := reader.next()
-		if stallTimer != nil && events.count > 0 {
-			stallTimer.Reset(stallTimeout)
+		if stall != nil && events.count > 0 {
+			stall.extend(stallTimeout)
 		}
 		if errors.Is(err, io.EOF) {
 			return st.endStream(a, events.bytes)
@@ -174,9 +174,9 @@
 }
 
 // stallTimeout returns how long a resumable stream may pause before it resumes
-// at another upstream; zero disables the timeout.
+// at another upstream, if there is one; zero disables the timeout.
 func (st *streamState) stallTimeout() time.Duration {
-	if !st.req.Route.Resumable || st.nextRunIsLast() {
+	if !st.req.Route.Resumable || !st.mayMoveOn() {
 		return 0
 	}
 	return time.Duration(stallTimeoutFactor * float64(st.req.Route.TargetGap))
