edge: A stream that lost its upstream waits for one a moment

What callers saw: streams that were aborted with seconds left because no upstream could be picked at that moment (`all_down`), or because dials of 0.2 s each to silent upstreams had used up the attempts (`enough_tries`).

A resumable stream whose head was sent now waits for up to maxPeerSilence, asking each 0.1 s for an upstream and, where one is due, for a retry; upstreams that it has tried count again. It does not wait once its runs are used up or while the VM is isolated. Requests whose head was not sent are answered at once as before.

--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cranberrypier/cranberrypier/internal/ctxwait"
 	"github.com/cranberrypier/cranberrypier/internal/exchange"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
 	"github.com/cranberrypier/cranberrypier/internal/logs"
@@ -32,6 +33,9 @@
 	plan       *modelPlan
 	headSent   bool // the head was sent to the caller
 	controller *http.ResponseController
+	// resumeBy is when a stream that has lost its upstream is aborted if none can
+	// continue it; zero while it has one.
+	resumeBy time.Time
 }
 
 // serveStream serves a request whose response is a stream of events. It
@@ -42,6 +46,9 @@
 	for {
 		pick, reason := x.nextPick(st.plan.model)
 		if pick == nil {
+			if st.waitForUpstream(false) {
+				continue
+			}
 			st.endWithoutUpstream(reason)
 			return
 		}
@@ -55,7 +62,8 @@
 			x.runs++
 			continue
 		}
-		if x.decideRetry(a) != retry.Again {
+		d := x.decideRetry(a)
+		if d != retry.Again && (!d.MayChange() || !st.waitForUpstream(a.attemptStatus != exchange.NotSent)) {
 			st.endBroken(a)
 			return
 		}
@@ -147,8 +155,11 @@
 	reader := newEventReader(a.body)
 	for {
 		events, err := reader.next()
-		if stall != nil && events.count > 0 {
-			stall.extend(stallTimeout)
+		if events.count > 0 {
+			st.resumeBy = time.Time{}
+			if stall != nil {
+				stall.extend(stallTimeout)
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return st.endStream(a, events.bytes)
@@ -217,6 +228,25 @@
 	return streamDone
 }
 
+// waitForUpstream waits until another upstream is reserved for a stream that has lost
+// its own, or the same one again: all may be silent for a moment. It gives up after
+// maxPeerSilence without an event, and at once on a VM that is isolated, whose caller
+// is served sooner elsewhere.
+func (st *streamState) waitForUpstream(takeRetry bool) bool {
+	if !st.headSent || !st.req.Route.Resumable || st.runs >= st.req.Route.MaxRuns {
+		return false
+	}
+	if st.resumeBy.IsZero() {
+		st.resumeBy = time.Now().Add(maxPeerSilence)
+	}
+	for time.Now().Before(st.resumeBy) && !st.proxy.isolation.isIsolated() && ctxwait.For(st.ctx, retryCheckInterval) {
+		if st.reserve(nil, takeRetry) {
+			return true
+		}
+	}
+	return false
+}
+
 // endWithoutUpstream ends a stream for which there is no (further) upstream.
 func (st *streamState) endWithoutUpstream(reason fleet.Reason) {
 	if !st.headSent {
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -19,6 +19,12 @@
 	ContentBlocked     Decision = "crashes_upstreams"
 )
 
+// MayChange reports whether a request that is not sent again now may be sent again a
+// moment later.
+func (d Decision) MayChange() bool {
+	return d == BudgetExhausted || d == MaxAttemptsReached
+}
+
 const (
 	// maxExtraAttempts is the maximum number of attempts beyond MaxRuns, for attempts
 	// that did not run.
