fleet: Failed connections don't prolong a backoff that has begun

What callers saw: after an upstream was silent for half a second, a VM left it out for up to 3.9 s, and its zone for 2 s; in a small service no upstream was left meanwhile (`all_down`), so that requests were refused and streams had nowhere to go on.

Cause: each failed connection doubled the backoff, also those that were opened before it began: 20 that fail at the same time reach the longest at once.

A failure during the backoff now changes nothing, and maxBackoff is 1 s instead of 4 (zones: 2), so that a sound upstream is in use again a second after its silence. An upstream that is gone costs a failed connection a second instead of each four.

--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -25,9 +25,10 @@
 	// outcomes, so that an upstream receives requests again and can show that it
 	// has recovered.
 	failureHalfLife = 3 * time.Second
-	// minBackoff and maxBackoff bound the backoff after a failed connection.
+	// minBackoff and maxBackoff bound the backoff after a failed connection. A sound
+	// upstream that was silent for a moment is out of use for maxBackoff at most.
 	minBackoff = 400 * time.Millisecond
-	maxBackoff = 4 * time.Second
+	maxBackoff = time.Second
 	// latencyWeight is the weight of the newest sample in the average latency.
 	latencyWeight = 0.2
 	// msPerTokenUpWeight and msPerTokenDownWeight are the weights of a sample above
@@ -101,8 +102,12 @@
 	m.failureRate, m.failureRateAt = rate, now
 }
 
-// recordUnreachable starts or extends the backoff after a failed connection.
+// recordUnreachable starts the backoff after a failed connection. Failures during the
+// backoff are of connections that were opened before it, and show nothing new.
 func (m *member) recordUnreachable(now time.Time) {
+	if now.Before(m.backoffUntil) {
+		return
+	}
 	m.backoff = min(max(2*m.backoff, minBackoff), maxBackoff)
 	m.backoffUntil = now.Add(m.backoff)
 }
--- a/internal/fleet/zone.go
+++ b/internal/fleet/zone.go
@@ -29,10 +29,10 @@
 // recordUnreachable records a failed connection to an upstream of the zone.
 func (z *zoneHealth) recordUnreachable(now time.Time, id string) {
 	z.unreachableIDs[id] = true
-	if len(z.unreachableIDs) < zoneUnreachableThreshold {
+	if len(z.unreachableIDs) < zoneUnreachableThreshold || z.isUnreachable(now) {
 		return
 	}
-	z.backoff = min(max(2*z.backoff, minBackoff), maxBackoff/2)
+	z.backoff = min(max(2*z.backoff, minBackoff), maxBackoff)
 	z.unreachableUntil = now.Add(z.backoff)
 }
 
