--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -96,7 +96,7 @@
 	self := gossip.Member{Name: o.Settings.Name, Incarnation: start}
 	dial := o.DialUpstream
 	if dial == nil {
-		dial = newDialer(upstreamDialTimeout).DialContext
+		dial = newUpstreamDialer().DialContext
 	}
 	s := &Proxy{
 		ingress: o.Ingress, protocol: o.Protocol, transport: newUpstreamTransport(dial), dialUpstream: dial, metrics: o.Metrics,
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -63,8 +63,8 @@
 }
 
 // sendAttempt sends the request to the picked upstream and waits for the head
-// of the response, at most headTimeout. A headTimeout of zero waits until the
-// request's deadline.
+// of the response. After headTimeout it gives up once another upstream is reserved. A
+// headTimeout of zero waits until the request's deadline.
 func (x *requestState) sendAttempt(pick *fleet.Pick, model string, headTimeout time.Duration) *attempt {
 	a := &attempt{state: x, pick: pick, model: model, startedAt: time.Now()}
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
@@ -79,8 +79,8 @@
 		return a
 	}
 	if headTimeout > 0 {
-		timer := time.AfterFunc(headTimeout, func() { a.cancel(errHeadTimeout) })
-		defer timer.Stop()
+		patience := a.startPatience(headTimeout, errHeadTimeout)
+		defer patience.stop()
 	}
 	resp, err := x.proxy.transport.RoundTrip(req) //nolint:bodyclose // closed by release
 	if err != nil {
@@ -203,5 +203,5 @@
 		"model", a.model, "why", a.state.versionReason, "cost", int(a.pick.Cost), "candidates", a.pick.EligibleCount,
 		"uncached", a.pick.UncachedTokens, "expect", a.pick.ExpectedLatency.Milliseconds(), "firstByte", a.timeToHead.Milliseconds(),
 		"took", time.Since(a.startedAt).Milliseconds(), "fate", a.attemptStatus, "status", status, "confidence", confidence,
-		"events", a.pace.events, "interval", a.pace.interval().Milliseconds(), "framing", a.framing, "leftover", a.leftover, "end", upstreamOutcome, "err", logs.Err(a.err))
+		"events", a.pace.events, "interval", a.pace.interval().Milliseconds(), "framing", a.framing, "leftover", a.leftover, "end", upstreamOutcome, "cause", a.endCause(), "err", logs.Err(a.err))
 }
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -24,8 +24,6 @@
 	// maxForwardTries limits the VMs to which one request is forwarded in sequence, as
 	// long as each of them certainly did not take it.
 	maxForwardTries = 3
-	// forwardDialTimeout limits connecting to another VM.
-	forwardDialTimeout = 200 * time.Millisecond
 	// anyService stands for all services in Proxy.probe.
 	anyService = ""
 	// maxReportedServices limits the unreachable services that a datagram names.
@@ -46,7 +44,7 @@
 
 func newForwarder(vm, zone string, regionByZone map[string]string) *forwarder {
 	return &forwarder{
-		reach: forwarding.NewReach(), core: forwarding.New(zone, regionByZone), transport: newUpstreamTransport(newDialer(forwardDialTimeout).DialContext), self: vm, wake: make(chan struct{}, 1),
+		reach: forwarding.NewReach(), core: forwarding.New(zone, regionByZone), transport: newUpstreamTransport(newForwardDialer().DialContext), self: vm, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -163,6 +161,7 @@
 	if x.forwarded != nil || !f.unreachable(x.req.Service.Name) {
 		return nil
 	}
+	x.dropReservation()
 	for range maxForwardTries {
 		vm, ok := f.choose(x)
 		if !ok || x.ctx.Err() != nil {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -26,6 +26,7 @@
 	attempts      *prometheus.CounterVec
 	bodyEnds      *prometheus.CounterVec
 	forwards      *prometheus.CounterVec
+	attemptEnds   *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	storeReasons  *prometheus.CounterVec
 	storeDuration *prometheus.HistogramVec
@@ -60,6 +61,9 @@
 		forwards: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pier_forwards_total", Help: "Requests forwarded to other VMs by result.",
 		}, []string{"result"}),
+		attemptEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pier_attempt_ends_total", Help: "Attempts at upstreams by what ended them.",
+		}, []string{"cause"}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pier_store_calls_total", Help: "Calls to the platform's store by operation and outcome.",
 		}, []string{"operation", "outcome"}),
@@ -71,7 +75,7 @@
 		}, []string{"operation"}),
 		routes: labelSet{maxValues: maxRouteLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.forwards, m.storeCalls, m.storeReasons, m.storeDuration)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.storeCalls, m.storeReasons, m.storeDuration)
 	return m
 }
 
@@ -137,6 +141,7 @@
 
 func (m *Metrics) countAttempt(a *attempt) {
 	m.attempts.WithLabelValues(a.model, a.attemptStatus.String()).Inc()
+	m.attemptEnds.WithLabelValues(string(a.endCause())).Inc()
 	if a.framing != "" {
 		m.bodyEnds.WithLabelValues(string(a.framing), a.bodyEnd()).Inc()
 	}
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -76,6 +76,7 @@
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithDeadline(r.Context(), x.req.Deadline)
 	defer cancel()
+	defer x.dropReservation()
 	if x.req.Route.Stream {
 		x.serveStream()
 	} else {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/cranberrypier/cranberrypier/internal/ctxwait"
 	"github.com/cranberrypier/cranberrypier/internal/exchange"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
 	"github.com/cranberrypier/cranberrypier/internal/logs"
@@ -32,6 +33,9 @@
 	plan       *modelPlan
 	headSent   bool // the head was sent to the caller
 	controller *http.ResponseController
+	// resumeBy is when a stream that has lost its upstream is aborted if none can
+	// continue it; zero while it has one.
+	resumeBy time.Time
 }
 
 // serveStream serves a request whose response is a stream of events. It
@@ -42,6 +46,9 @@
 	for {
 		a, reason := x.nextAttempt(st.plan.model, st.plan.model, st.streamHeadTimeout)
 		if a == nil {
+			if st.waitForUpstream(false) {
+				continue
+			}
 			st.endWithoutUpstream(reason)
 			return
 		}
@@ -54,7 +61,8 @@
 			x.runs++
 			continue
 		}
-		if x.decideRetry(a) != retry.Again {
+		d := x.decideRetry(a)
+		if d != retry.Again && (!d.MayChange() || !st.waitForUpstream(a.attemptStatus != exchange.NotSent)) {
 			st.endBroken(a)
 			return
 		}
@@ -65,7 +73,7 @@
 // another upstream is tried. Zero means until the request's deadline, because
 // the next run is the last one.
 func (st *streamState) streamHeadTimeout(p *fleet.Pick) time.Duration {
-	if st.nextRunIsLast() {
+	if !st.mayMoveOn() {
 		return 0
 	}
 	return max(streamHeadTimeoutFactor*p.ExpectedLatency, st.req.Route.TargetLatency)
@@ -144,16 +152,19 @@
 // forwardEvents forwards events until the stream ends or breaks.
 func (st *streamState) forwardEvents(a *attempt) streamResult {
 	stallTimeout := st.stallTimeout()
-	var stallTimer *time.Timer
-	if stallTimeout > 0 {
-		stallTimer = time.AfterFunc(stallTimeout, func() { a.cancel(errStreamStalled) })
-		defer stallTimer.Stop()
+	var stall *patience
+	if stallTimeout > 0 && a.vm == "" { // another VM watches its own upstream
+		stall = a.startPatience(stallTimeout, errStreamStalled)
+		defer stall.stop()
 	}
 	reader := newEventReader(a.body)
 	for {
 		events, err := reader.next()
-		if stallTimer != nil && events.count > 0 {
-			stallTimer.Reset(stallTimeout)
+		if events.count > 0 {
+			st.resumeBy = time.Time{}
+			if stall != nil {
+				stall.extend(stallTimeout)
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return st.endStream(a, events.bytes)
@@ -179,9 +190,9 @@
 }
 
 // stallTimeout returns how long a resumable stream may pause before it resumes
-// at another upstream; zero disables the timeout.
+// at another upstream, if there is one; zero disables the timeout.
 func (st *streamState) stallTimeout() time.Duration {
-	if !st.req.Route.Resumable || st.nextRunIsLast() {
+	if !st.req.Route.Resumable || !st.mayMoveOn() {
 		return 0
 	}
 	return time.Duration(stallTimeoutFactor * float64(st.req.Route.TargetGap))
@@ -222,6 +233,25 @@
 	return streamDone
 }
 
+// waitForUpstream waits until another upstream is reserved for a stream that has lost
+// its own, or the same one again: all may be silent for a moment. It gives up after
+// maxPeerSilence without an event, and at once on a VM that is isolated, whose caller
+// is served sooner elsewhere.
+func (st *streamState) waitForUpstream(takeRetry bool) bool {
+	if !st.headSent || !st.req.Route.Resumable || st.runs >= st.req.Route.MaxRuns {
+		return false
+	}
+	if st.resumeBy.IsZero() {
+		st.resumeBy = time.Now().Add(maxPeerSilence)
+	}
+	for time.Now().Before(st.resumeBy) && !st.proxy.isolation.isIsolated() && ctxwait.For(st.ctx, retryCheckInterval) {
+		if st.mayForward(takeRetry) || st.reserve(nil, takeRetry) {
+			return true
+		}
+	}
+	return false
+}
+
 // endWithoutUpstream ends a stream for which there is no (further) upstream.
 func (st *streamState) endWithoutUpstream(reason fleet.Reason) {
 	if !st.headSent {
