canary: The verdict's log line states the load at which it was reached

A verdict gave tallies only, so that nobody could see that the new version's upstreams had carried less than the old ones. It now has, per version, the requests that an upstream was running on average and at most, as upstreams report them with their responses, pooled over all VMs. Judgements don't change.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -73,6 +73,9 @@
 	Old map[string]Tally `cbor:"2,keyasint"`
 	// OldRunning is the number of requests in flight on the other versions.
 	OldRunning int `cbor:"3,keyasint"`
+	// NewLoad and OldLoad are the loads of the upstreams.
+	NewLoad Load `cbor:"4,keyasint"`
+	OldLoad Load `cbor:"5,keyasint"`
 }
 
 // rollOutState is the state of one roll-out.
@@ -292,6 +295,9 @@
 	// Conclusive is false if the attempt says nothing about the version.
 	Conclusive bool
 	Bad        bool
+	// Running is the number of requests that the upstream was running, or
+	// UnknownRunning.
+	Running int
 }
 
 // AttemptEnded records the end of an attempt that AttemptStarted recorded.
@@ -302,8 +308,11 @@
 	}
 	own := r.countersByIncarnation[c.incarnation]
 	isNew := o.Version == r.rollOut.NewVersion
-	if !isNew {
+	if isNew {
+		own.NewLoad.add(o.Running)
+	} else {
 		own.OldRunning = max(own.OldRunning-1, 0)
+		own.OldLoad.add(o.Running)
 	}
 	if o.Conclusive {
 		own.add(isNew, o.Route, o.Bad)
--- a/internal/canary/report.go
+++ b/internal/canary/report.go
@@ -108,7 +108,7 @@
 
 func (c Counters) clone() Counters {
 	out := newCounters()
-	out.OldRunning = c.OldRunning
+	out.OldRunning, out.NewLoad, out.OldLoad = c.OldRunning, c.NewLoad, c.OldLoad
 	for k, v := range c.New {
 		out.New[k] = v
 	}
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -37,6 +37,15 @@
 	return newTallies, oldTallies, oldRunning
 }
 
+// pooledLoads returns the loads over all VMs.
+func (r *rollOutState) pooledLoads() (newLoad, oldLoad Load) {
+	for _, vm := range r.countersByIncarnation {
+		newLoad.merge(vm.NewLoad)
+		oldLoad.merge(vm.OldLoad)
+	}
+	return newLoad, oldLoad
+}
+
 // allRoutes is the key of the sum over all routes in pooled tallies.
 const allRoutes = ""
 
@@ -135,8 +144,11 @@
 	RollOut RollOut
 	Phase   Phase
 	// New and Old are the pooled tallies over all routes.
-	New      Tally
-	Old      Tally
+	New Tally
+	Old Tally
+	// NewLoad and OldLoad are the pooled loads of the upstreams.
+	NewLoad  Load
+	OldLoad  Load
 	Progress float64
 	// Route is a route on which the new version is worse, or the work at which it is
 	// slow after a zero byte. It is empty for the sum over all routes, or if another VM
@@ -158,6 +170,7 @@
 		}
 		newTallies, oldTallies, running := r.pooledTallies()
 		v := Verdict{RollOut: r.rollOut, New: newTallies[allRoutes], Old: oldTallies[allRoutes], Progress: r.progress(now)}
+		v.NewLoad, v.OldLoad = r.pooledLoads()
 		for route := range newTallies {
 			old := oldTallies[route]
 			if route == allRoutes {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -358,6 +358,7 @@
 	err := f.source.WriteStatus(ctx, catalog.RollOuts, name, revision, f.docs.EncodeRollOutStatus(v.RollOut.NewVersion, v.Phase))
 	klog.InfoS("canary: tried to write the verdict to the store", "service", v.RollOut.Service, "target", v.RollOut.NewVersion, "phase", v.Phase, "age", v.Progress,
 		"new", v.New.Total, "newBad", v.New.Bad, "old", v.Old.Total, "oldBad", v.Old.Bad, "route", v.Route,
+		"newLoad", v.NewLoad.Mean(), "newLoadMost", v.NewLoad.Most, "oldLoad", v.OldLoad.Mean(), "oldLoadMost", v.OldLoad.Most,
 		"revision", revision, "err", logs.Err(err))
 	if err != nil {
 		return
--- a/internal/edge/pace.go
+++ b/internal/edge/pace.go
@@ -79,6 +79,15 @@
 	return true
 }
 
+// running returns the number of requests that the upstream reported to run, or
+// canary.UnknownRunning.
+func (a *attempt) running() int {
+	if a.head == nil || a.head.Load == nil {
+		return canary.UnknownRunning
+	}
+	return a.head.Load.Running
+}
+
 // recordPace records how fast the upstream worked, once for an attempt.
 func (a *attempt) recordPace(now time.Time) {
 	p := canary.Pace{
@@ -86,8 +95,8 @@
 	}
 	if !a.state.req.Route.Stream {
 		p.Work, p.PerUnit, p.Call = a.state.req.Route.Name, a.timeToHead, true
-	} else if a.head != nil && a.head.Load != nil {
-		p.Running = a.head.Load.Running
+	} else {
+		p.Running = a.running()
 	}
 	cold := a.startedAt.Before(a.pick.ColdUntil)
 	if a.paceRecorded || p.PerUnit == 0 || cold {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -117,7 +117,7 @@
 	conclusive = conclusive && x.outcomes.add(a)
 	x.proxy.recordAttemptOutcome(canary.Outcome{
 		Service: x.req.Service.Name, Version: a.pick.Version, Route: x.req.Route.Name,
-		Conclusive: conclusive, Bad: conclusive && (late || upstreamOutcome == fleet.OutcomeFailed),
+		Conclusive: conclusive, Bad: conclusive && (late || upstreamOutcome == fleet.OutcomeFailed), Running: a.running(),
 	})
 	a.recordPace(now)
 	x.proxy.recordCrashEvidence(now, a)
