edge: Write a verdict when it is due, whatever was written before

After a VM had written a verdict, it judged no roll-out for 0.7 s. With two roll-outs that end together the second was written late. Each verdict now has a pause of its own, between writes of the same one.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -67,10 +67,9 @@
 	// group watches the store; relay decides whether this VM reads it itself.
 	group *catalog.Group
 	relay *relayState
-	// verdictFirstSeen holds when canary.Tick first returned each pending
-	// verdict. A verdict is a change of a roll-out's phase; it is pending until
-	// it is in the store.
-	verdictFirstSeen map[verdictKey]time.Time
+	// verdictDueAt holds when each pending verdict is written to the store next. A
+	// verdict is a change of a roll-out's phase; it is pending until it is in the store.
+	verdictDueAt map[verdictKey]time.Time
 }
 
 // verdictKey identifies a verdict.
@@ -89,7 +88,7 @@
 func NewFollower(s *Proxy, o Options, startedAt time.Time) *Follower {
 	return &Follower{
 		proxy: s, source: o.Source, docs: o.Documents, bounds: o.Settings.Bounds, history: o.Settings.Store.History, zone: o.Settings.Zone,
-		withdrawn: newWithdrawnZones(), rollOuts: make(map[string]rollOutObject), verdictFirstSeen: make(map[verdictKey]time.Time),
+		withdrawn: newWithdrawnZones(), rollOuts: make(map[string]rollOutObject), verdictDueAt: make(map[verdictKey]time.Time),
 		group: catalog.NewGroup(), relay: newRelayState(newRelayConfig(o, startedAt)),
 	}
 }
@@ -279,9 +278,8 @@
 	tickInterval = 100 * time.Millisecond
 	// verdictWriteTimeout limits one write of a verdict to the store.
 	verdictWriteTimeout = time.Second
-	// verdictRetryInterval is the pause after this VM has written verdicts,
-	// successfully or not. Until it ends, roll-outs are not judged and no
-	// verdict is written again.
+	// verdictRetryInterval is the pause after this VM has written a verdict,
+	// successfully or not, until it writes the same one again.
 	verdictRetryInterval = 700 * time.Millisecond
 )
 
@@ -291,7 +289,6 @@
 func (f *Follower) RunPeriodicTasks(ctx context.Context, liveInZone func() ([]string, int)) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	var nextWrite time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -303,40 +300,32 @@
 		f.updateReadDecision(now, zone, zones)
 		f.proxy.fleet.Expire(now)
 		f.expireWithdrawals(now)
-		if now.Before(nextWrite) {
-			continue
-		}
-		if f.writeDueVerdicts(ctx, now) {
-			nextWrite = now.Add(verdictRetryInterval)
-		}
+		f.writeDueVerdicts(ctx, now)
 	}
 }
 
-// writeDueVerdicts writes the verdicts that are due and reports whether there
-// were any.
-func (f *Follower) writeDueVerdicts(ctx context.Context, now time.Time) bool {
+// writeDueVerdicts judges the roll-outs and writes the verdicts that are due.
+func (f *Follower) writeDueVerdicts(ctx context.Context, now time.Time) {
 	f.proxy.mu.Lock()
 	verdicts := f.proxy.canary.Tick(now)
 	f.proxy.mu.Unlock()
 	if len(verdicts) == 0 {
-		clear(f.verdictFirstSeen)
-		return false
+		clear(f.verdictDueAt)
+		return
 	}
 	delay := f.verdictDelay()
-	wrote := false
 	for _, v := range verdicts {
 		key := verdictKey{v.RollOut.Service, v.RollOut.NewVersion, v.Phase}
-		firstSeen, known := f.verdictFirstSeen[key]
+		dueAt, known := f.verdictDueAt[key]
 		if !known {
-			firstSeen = now
-			f.verdictFirstSeen[key] = now
+			dueAt = now.Add(delay)
+			f.verdictDueAt[key] = dueAt
 		}
-		if now.Sub(firstSeen) >= delay {
+		if !now.Before(dueAt) {
 			f.writeVerdict(ctx, v)
-			wrote = true
+			f.verdictDueAt[key] = time.Now().Add(verdictRetryInterval)
 		}
 	}
-	return wrote
 }
 
 // writeVerdict writes a verdict to the store. If another VM wrote it first, the
