canary: A version that nobody found bad stays within its exposure until the deadline

Cause: the trial shows nothing of a load that it does not reach, and what was not found bad was given everything from 66% of the time on.

Change: the ramp is put off so that the exposure suffices until the deadline, planned from the counts of attempts that VMs exchange; a share of the sessions uses as large a share of the new upstreams, the same on all VMs; failures are compared at the same load, too. Roll-outs under 6 s ramp after the trial and log 3008.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -34,29 +34,13 @@
 	Phase Phase
 }
 
-// Schedule and limits of a roll-out. trialEnd, rampEnd and forcedCompletion are
-// shares of its duration.
 const (
-	// trialEnd is the end of the trial. Until then, sessions on the old version stay
-	// there.
-	trialEnd = 0.52
-	// rampEnd is when all sessions use the new version.
-	rampEnd = 0.66
-	// forcedCompletion is when a good version is reported as completed even if
-	// requests still run on the old version.
-	forcedCompletion = 0.88
-	// trialExposureShare is the share of maxExposure, the largest share of requests
-	// that a bad version may receive, that the trial uses.
-	trialExposureShare = 0.66
+	// trialExposureShare is the share of Exposure.Share that the trial uses.
+	trialExposureShare = 0.45
 	// sessionExchangeWindow is the time after the start in which all sessions use
 	// the old version. Meanwhile the VMs report to each other which of the sessions
 	// that the trial would move already use the old version.
 	sessionExchangeWindow = 2500 * time.Millisecond
-	// completionDelayShare, a share of the duration, and maxCompletionDelay are how
-	// long after the ramp a roll-out may be completed at the earliest, so that all
-	// VMs have finished the ramp and know how the new version bears the load.
-	completionDelayShare = 0.2
-	maxCompletionDelay   = 2500 * time.Millisecond
 )
 
 // Tally counts outcomes of attempts on one version of a route.
@@ -76,6 +60,10 @@
 	// NewLoad and OldLoad are the loads of the upstreams.
 	NewLoad Load `cbor:"4,keyasint"`
 	OldLoad Load `cbor:"5,keyasint"`
+	// Attempts is the number of attempts that have begun, and NewAttempts of those on
+	// the new version.
+	Attempts    uint32 `cbor:"6,keyasint"`
+	NewAttempts uint32 `cbor:"7,keyasint"`
 }
 
 // rollOutState is the state of one roll-out.
@@ -86,6 +74,7 @@
 	// from an older copy; the verdict is then due again.
 	storedPhase           Phase
 	startedAt             time.Time // when any VM first saw the roll-out, on this VM's clock
+	rampStart             float64   // a share of the duration; see planRamp
 	judgedBad             bool
 	countersByIncarnation map[string]Counters
 	oldBuckets            bucketSet
@@ -96,7 +85,7 @@
 // for concurrent use.
 type Core struct {
 	incarnation    string
-	maxExposure    float64
+	exposure       Exposure
 	rollOuts       map[string]*rollOutState
 	stableVersions map[string]map[string]bool
 	sessions       *sessions
@@ -114,10 +103,10 @@
 const rewriteTimeout = 10 * time.Second
 
 // New returns a core without roll-outs. incarnation must be unique for each start of
-// a VM; maxExposure is the largest share of requests that a bad version may receive.
-func New(incarnation string, maxExposure float64, sessionTTL time.Duration) *Core {
+// a VM.
+func New(incarnation string, exposure Exposure, sessionTTL time.Duration) *Core {
 	return &Core{
-		incarnation: incarnation, maxExposure: maxExposure, rollOuts: make(map[string]*rollOutState),
+		incarnation: incarnation, exposure: exposure, rollOuts: make(map[string]*rollOutState),
 		stableVersions: make(map[string]map[string]bool), sessions: newSessions(sessionTTL),
 		references:      make(map[string]*reference),
 		replacedTargets: make(map[string]map[string]bool),
@@ -137,7 +126,7 @@
 			return false
 		}
 		c.recordReplaced(r)
-		c.rollOuts[o.Service] = &rollOutState{rollOut: o, storedPhase: o.Phase, startedAt: now, countersByIncarnation: map[string]Counters{c.incarnation: newCounters()}}
+		c.rollOuts[o.Service] = &rollOutState{rollOut: o, storedPhase: o.Phase, startedAt: now, rampStart: trialEnd, countersByIncarnation: map[string]Counters{c.incarnation: newCounters()}}
 		return true
 	}
 	phase := max(r.rollOut.Phase, o.Phase) // a reported phase is final
@@ -184,6 +173,9 @@
 	// an upstream.
 	Preferred func(version string) bool
 	Fallback  func(version string) bool
+	// PreferredShare is the share of the upstreams of the preferred versions to use; zero
+	// for all. It keeps the load of each at that of an upstream of another version.
+	PreferredShare float64
 	// Reason explains the choice in the log.
 	Reason string
 }
@@ -207,7 +199,7 @@
 	}
 	progress := r.progress(now)
 	trial := progress < trialEnd
-	share := c.newVersionShare(progress)
+	share := c.newVersionShare(r, progress)
 	key, pinned := id, ""
 	if session != "" {
 		key = session
@@ -215,13 +207,13 @@
 	}
 	switch {
 	case pinned == target:
-		return Rule{Preferred: isNew, Fallback: isOld, Reason: "session on new"}
+		return Rule{Preferred: isNew, Fallback: isOld, PreferredShare: share, Reason: "session on new"}
 	// In the trial, sessions on the old version stay there. Until the VMs have had
 	// time to exchange these sessions, all other requests use it as well.
 	case trial && (pinned != "" || r.oldBuckets.has(key) || now.Sub(r.startedAt) < sessionExchangeWindow):
 		return Rule{Preferred: isOld, Reason: "session on old"}
 	case hashFraction(target+key) < share:
-		return Rule{Preferred: isNew, Fallback: isOld, Reason: "new"}
+		return Rule{Preferred: isNew, Fallback: isOld, PreferredShare: share, Reason: "new"}
 	}
 	return Rule{Preferred: isOld, Fallback: newAfterTrial(trial, isNew), Reason: "old"}
 }
@@ -260,16 +252,6 @@
 	return float64(now.Sub(r.startedAt)) / float64(r.rollOut.Duration)
 }
 
-// newVersionShare returns the share of the sessions that use the new version at a
-// progress, which is a share of the roll-out's duration.
-func (c *Core) newVersionShare(progress float64) float64 {
-	trial := c.maxExposure * trialExposureShare
-	if progress < trialEnd {
-		return trial
-	}
-	return min(trial+(1-trial)*(progress-trialEnd)/(rampEnd-trialEnd), 1)
-}
-
 // hashFraction maps a key to [0, 1), with the same result on every VM.
 func hashFraction(key string) float64 {
 	return float64(xxhash.Sum64String(key)>>11) / (1 << 53)
@@ -280,11 +262,18 @@
 	if session != "" {
 		c.sessions.record(now, service, session, version)
 	}
-	if r := c.rollOuts[service]; r != nil && version != r.rollOut.NewVersion {
-		own := r.countersByIncarnation[c.incarnation]
+	r := c.rollOuts[service]
+	if r == nil {
+		return
+	}
+	own := r.countersByIncarnation[c.incarnation]
+	own.Attempts++
+	if version == r.rollOut.NewVersion {
+		own.NewAttempts++
+	} else {
 		own.OldRunning++
-		r.countersByIncarnation[c.incarnation] = own
 	}
+	r.countersByIncarnation[c.incarnation] = own
 }
 
 // Outcome is the outcome of an attempt.
@@ -316,6 +305,7 @@
 	}
 	if o.Conclusive {
 		own.add(isNew, o.Route, o.Bad)
+		own.addAtLoad(isNew, o.Running, o.Bad)
 	}
 	r.countersByIncarnation[c.incarnation] = own
 }
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -21,6 +21,7 @@
 
 var (
 	begin    = time.Unix(1000, 0)
+	limits   = Exposure{Share: exposure, Tolerance: exposureTolerance}
 	versions = []string{oldVersion, newVersion}
 )
 
@@ -31,7 +32,7 @@
 	return c
 }
 
-func newWithRollOut(name string) *Core { return withRollOut(New(name, exposure, ttl)) }
+func newWithRollOut(name string) *Core { return withRollOut(New(name, limits, ttl)) }
 
 // chosenVersion returns the version for a request if both have upstreams.
 func chosenVersion(c *Core, now time.Time, session, id string) string {
@@ -123,7 +124,7 @@
 }
 
 func TestNewVersionIsNotUsedBeforeItsRollOut(t *testing.T) {
-	c := New("vm-1", exposure, ttl)
+	c := New("vm-1", limits, ttl)
 	c.Choose(begin, service, "", "x", []string{oldVersion})
 	rule := c.Choose(at(time.Second), service, "", "x", versions)
 	assert.True(t, rule.Preferred(oldVersion))
@@ -264,7 +265,7 @@
 }
 
 func TestLateVMReceivesRollOutAge(t *testing.T) {
-	late := New("vm-late", exposure, ttl)
+	late := New("vm-late", limits, ttl)
 	late.SetRollOut(at(16*time.Second), RollOut{Service: service, NewVersion: newVersion, Duration: duration})
 	assert.Equal(t, oldVersion, chosenVersion(late, at(17*time.Second), "any", "x"))
 	for _, r := range newWithRollOut("vm-1").Reports(at(16 * time.Second)) {
@@ -290,7 +291,7 @@
 	lossRate := rng.Float64() * 0.5
 	cores := make([]*Core, vms)
 	for i := range cores {
-		cores[i] = New(fmt.Sprintf("vm-%d", i), exposure, ttl)
+		cores[i] = New(fmt.Sprintf("vm-%d", i), limits, ttl)
 		cores[i].SetRollOut(at(time.Duration(rng.IntN(300))*time.Millisecond), RollOut{Service: service, NewVersion: newVersion, Duration: duration})
 	}
 	all, exposed, reverted := 0, 0, false
@@ -371,7 +372,7 @@
 func newLargeFleet(seed uint64, vms int) *largeFleet {
 	f := &largeFleet{rng: rand.New(rand.NewPCG(seed, 3))}
 	for i := range vms {
-		f.cores = append(f.cores, New(fmt.Sprintf("vm-%d", i), exposure, ttl))
+		f.cores = append(f.cores, New(fmt.Sprintf("vm-%d", i), limits, ttl))
 	}
 	return f
 }
--- a/internal/canary/pace.go
+++ b/internal/canary/pace.go
@@ -41,7 +41,7 @@
 	maxReferences = 64
 )
 
-// paceKeyPrefix begins the keys of tallies that count attempts by their pace, and
+// paceKeyPrefix begins the keys of tallies that count attempts by their pace or load, and
 // aboveIdleKeyPrefix of these the ones that count attempts above
 // idlePaceFactor. loadedPaceKey counts attempts of all kinds of work by their pace at
 // their load. Names of routes never begin with them.
@@ -50,6 +50,8 @@
 	aboveIdleKeyPrefix = paceKeyPrefix + "\x00"
 	loadedPaceKey      = paceKeyPrefix + "\x01"
 	callPaceKeyPrefix  = paceKeyPrefix + "\x02"
+	// failuresAtLoadPrefix begins the keys of tallies that count failures at a load.
+	failuresAtLoadPrefix = paceKeyPrefix + "\x03"
 )
 
 // Pace is how fast an upstream worked on an attempt, in time per unit of work: per
@@ -184,7 +186,7 @@
 	}
 	if rolling && ref.samples >= minPaces {
 		own := r.countersByIncarnation[c.incarnation]
-		own.addPace(isNew, p, ref, r.progress(now) < rampEnd)
+		own.addPace(isNew, p, ref, r.progress(now) < r.rampEnd())
 	}
 	if !isNew {
 		ref.add(p)
--- a/internal/canary/pace_test.go
+++ b/internal/canary/pace_test.go
@@ -49,7 +49,7 @@
 		{"after the ramp, somewhat slower", 17 * time.Second, fixed(45 * time.Millisecond), 50, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			c := New("vm-1", exposure, ttl)
+			c := New("vm-1", limits, ttl)
 			recordPaces(c, -5*time.Second, oldVersion, 60, busy)
 			withRollOut(c)
 			recordPaces(c, 4*time.Second, oldVersion, 60, busy)
@@ -67,7 +67,7 @@
 }
 
 func TestReferencesAreBounded(t *testing.T) {
-	c := New("vm-1", exposure, ttl)
+	c := New("vm-1", limits, ttl)
 	for i := range 3 * maxReferences {
 		c.RecordPace(begin, Pace{Service: service, Version: oldVersion, Work: fmt.Sprint(i), PerUnit: time.Millisecond})
 	}
--- a/internal/canary/report.go
+++ b/internal/canary/report.go
@@ -26,6 +26,9 @@
 	// OldBuckets is a bitmap of the buckets of sessions that belong to the trial's
 	// share but use the old version; see sessionBucket.
 	OldBuckets []byte `cbor:"7,keyasint,omitempty"`
+	// RampStart is the latest start of the ramp that any VM has found, as a share of
+	// the roll-out's duration.
+	RampStart float64 `cbor:"8,keyasint"`
 
 	own string // the reporting incarnation
 }
@@ -56,7 +59,7 @@
 func (c *Core) IsUrgent(now time.Time) bool {
 	for _, r := range c.rollOuts {
 		progress := r.progress(now)
-		if r.rollOut.Phase == InProgress && (now.Sub(r.startedAt) < urgentPeriod || progress > trialEnd && progress < forcedCompletion) {
+		if r.rollOut.Phase == InProgress && (now.Sub(r.startedAt) < urgentPeriod || progress > planFrom && progress < 1) {
 			return true
 		}
 	}
@@ -72,7 +75,7 @@
 		}
 		out = append(out, Report{
 			Service: r.rollOut.Service, NewVersion: r.rollOut.NewVersion, AgeMS: now.Sub(r.startedAt).Milliseconds(),
-			JudgedBad: r.judgedBad, CountersByIncarnation: c.reportedCounters(r), OldBuckets: c.reportedOldBuckets(now, r),
+			JudgedBad: r.judgedBad, CountersByIncarnation: c.reportedCounters(r), OldBuckets: c.reportedOldBuckets(now, r), RampStart: r.rampStart,
 			own: c.incarnation,
 		})
 	}
@@ -99,7 +102,7 @@
 	if r.progress(now) >= trialEnd {
 		return nil
 	}
-	inTrial := func(session string) bool { return hashFraction(r.rollOut.NewVersion+session) < c.newVersionShare(0) }
+	inTrial := func(session string) bool { return hashFraction(r.rollOut.NewVersion+session) < c.exposure.trialShare() }
 	for _, session := range c.sessions.matching(now, r.rollOut.Service, inTrial, func(v string) bool { return v != r.rollOut.NewVersion }) {
 		r.oldBuckets.add(session)
 	}
@@ -109,6 +112,7 @@
 func (c Counters) clone() Counters {
 	out := newCounters()
 	out.OldRunning, out.NewLoad, out.OldLoad = c.OldRunning, c.NewLoad, c.OldLoad
+	out.Attempts, out.NewAttempts = c.Attempts, c.NewAttempts
 	for k, v := range c.New {
 		out.New[k] = v
 	}
@@ -118,10 +122,10 @@
 	return out
 }
 
-// total returns the number of outcomes, which never decreases. Merge keeps the state
+// total returns the number of attempts and outcomes, which never decreases. Merge keeps the state
 // with the higher total; with equal totals, the state that arrives later.
 func (c Counters) total() uint64 {
-	var sum uint64
+	sum := uint64(c.Attempts)
 	for _, tallies := range []map[string]Tally{c.New, c.Old} {
 		for _, t := range tallies {
 			sum += uint64(t.Total)
@@ -141,6 +145,7 @@
 		r.startedAt = startedAt
 	}
 	r.oldBuckets.merge(report.OldBuckets)
+	r.putOffRamp(report.RampStart)
 	for name, counters := range report.CountersByIncarnation {
 		if name == c.incarnation {
 			continue
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -13,6 +13,8 @@
 	// minBadOutcomes is the number of bad outcomes on the new version below which it
 	// is never judged as bad.
 	minBadOutcomes = 3
+	// minBadAtLoad is that for outcomes at a load.
+	minBadAtLoad = 4
 	// minBadShareIncrease is how much the new version's share of bad outcomes must
 	// exceed the old version's.
 	minBadShareIncrease = 0.12
@@ -24,6 +26,8 @@
 	// are put down to chance; maxSlowCallChance is that for slow calls.
 	maxChance         = 0.003
 	maxSlowCallChance = 0.01
+	// maxChanceAtLoad is that for failures at a load, of which a trial shows few.
+	maxChanceAtLoad = 0.005
 )
 
 // pooledTallies sums the counters of all VMs, by route and in total.
@@ -95,6 +99,8 @@
 	switch {
 	case strings.HasPrefix(key, aboveIdleKeyPrefix):
 		return minAboveIdleOutcomes
+	case strings.HasPrefix(key, failuresAtLoadPrefix):
+		return minBadAtLoad
 	case key == loadedPaceKey:
 		return minLoadedOutcomes
 	case isStreamPaceKey(key) && 2*newTally.Bad <= newTally.Total:
@@ -124,12 +130,14 @@
 		return true
 	case strings.HasPrefix(key, callPaceKeyPrefix):
 		return newTally.chance(oldTally) < maxSlowCallChance
+	case strings.HasPrefix(key, failuresAtLoadPrefix):
+		return newTally.chance(oldTally) < maxChanceAtLoad
 	}
 	return newTally.chance(oldTally) < maxChance
 }
 
 func isStreamPaceKey(key string) bool {
-	return strings.HasPrefix(key, paceKeyPrefix) && !strings.HasPrefix(key, callPaceKeyPrefix)
+	return strings.HasPrefix(key, paceKeyPrefix) && !strings.HasPrefix(key, callPaceKeyPrefix) && !strings.HasPrefix(key, failuresAtLoadPrefix)
 }
 
 // chance returns how likely at least as many bad outcomes are if the true share is
@@ -168,6 +176,7 @@
 			}
 			continue
 		}
+		c.planRamp(now, r)
 		newTallies, oldTallies, running := r.pooledTallies()
 		v := Verdict{RollOut: r.rollOut, New: newTallies[allRoutes], Old: oldTallies[allRoutes], Progress: r.progress(now)}
 		v.NewLoad, v.OldLoad = r.pooledLoads()
@@ -196,7 +205,8 @@
 
 func (r *rollOutState) canComplete(now time.Time, oldRunning int) bool {
 	progress := r.progress(now)
-	delay := min(maxCompletionDelay, time.Duration(completionDelayShare*float64(r.rollOut.Duration)))
-	rampDone := now.Sub(r.startedAt) > time.Duration(rampEnd*float64(r.rollOut.Duration))+delay
-	return rampDone && (oldRunning == 0 || progress >= forcedCompletion)
+	if progress < max(r.completionAfter(earliestCompletion), minCompletion) {
+		return false
+	}
+	return oldRunning == 0 || progress >= max(r.completionAfter(forcedCompletion), minForcedCompletion)
 }
--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -95,7 +95,7 @@
 			VM: o.Settings.Name, Zone: o.Settings.Zone, RegionByZone: o.Settings.RegionByZone, ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack,
 		}),
 		budget: retrybudget.New(retrybudget.Config{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: max(b.RetryWindow, time.Second), SettleTime: budgetSettleTime}),
-		canary: canary.New(incarnationName(self), b.ExposureShare, b.SessionTTL),
+		canary: canary.New(incarnationName(self), canary.Exposure{Share: b.ExposureShare, Tolerance: b.ExposureSlack}, b.SessionTTL),
 		poison: poison.New(o.Settings.Name),
 		gains:  modelchoice.NewGains(),
 	}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -11,6 +11,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/catalog"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
 	"github.com/cranberrypier/cranberrypier/internal/logs"
+	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/cranberrypier/cranberrypier/internal/vm"
 )
 
@@ -260,6 +261,10 @@
 	}
 	klog.InfoS("canary: roll-out applied", "service", rollOut.Service, "target", rollOut.NewVersion, "duration", rollOut.Duration,
 		"phase", rollOut.Phase, "revision", o.Revision)
+	if rollOut.Phase == canary.InProgress && !rollOut.CapsExposure() {
+		klog.InfoS("canary: the roll-out is too short to cap the exposure of a version that is not judged; all sessions move after the trial",
+			"code", int(result.RollOutTooShort), "service", rollOut.Service, "target", rollOut.NewVersion, "duration", rollOut.Duration)
+	}
 }
 
 func (f *Follower) removeRollOut(o catalog.Object) {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -65,9 +65,13 @@
 	now := time.Now()
 	rule := x.proxy.versionRule(now, x.req)
 	q := x.query(model)
-	q.AllowVersion = rule.Preferred
+	q.AllowVersion, q.VersionShare = rule.Preferred, rule.PreferredShare
 	x.versionReason = rule.Reason
 	pick, reason := x.proxy.fleet.Pick(now, q)
+	if pick == nil && q.VersionShare > 0 {
+		q.VersionShare = 0
+		pick, reason = x.proxy.fleet.Pick(now, q)
+	}
 	if pick == nil && rule.Fallback != nil {
 		q.AllowVersion = rule.Fallback
 		x.versionReason = rule.Reason + ", other version"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -242,6 +242,7 @@
 	}
 	for _, p := range f.pools {
 		slices.SortFunc(p.members, func(a, b *member) int { return strings.Compare(a.ID, b.ID) })
+		p.rankInVersions()
 	}
 }
 
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -45,6 +45,8 @@
 	firstSeen time.Time
 	// hash is the hash of the ID, for rendezvous hashing.
 	hash uint64
+	// versionRank is the rank of the hash among the versionCount members of the version.
+	versionRank, versionCount int
 	// removeAt is when a removed entry is dropped from the inventory; zero while
 	// the entry is listed.
 	removeAt time.Time
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -31,6 +31,9 @@
 	Regions [][]string
 	// AllowVersion reports whether the request may run on a version.
 	AllowVersion func(version string) bool
+	// VersionShare is the share of each version's upstreams that the request may use,
+	// the same ones on all VMs; zero for all.
+	VersionShare float64
 }
 
 // promptKey returns the key that selects the prompt's preferred upstreams. Engines
@@ -201,7 +204,7 @@
 // isAllowed reports whether the query and the state of an upstream allow it to
 // receive the request at some time.
 func (f *Fleet) isAllowed(q Query, m *member) bool {
-	return f.usable(m) && !slices.Contains(q.Exclude, m.ID) && f.inAllowedRegions(m, q.Regions) && q.AllowVersion(m.Version)
+	return f.usable(m) && !slices.Contains(q.Exclude, m.ID) && f.inAllowedRegions(m, q.Regions) && q.AllowVersion(m.Version) && m.isInShare(q.VersionShare)
 }
 
 // eligible returns the upstreams that may receive the request. Recently unreachable
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math/rand/v2"
 	"slices"
@@ -37,6 +38,27 @@
 	return &servicePool{homes: homes}
 }
 
+// rankInVersions ranks the members of each version by the hash of their IDs, so that
+// all VMs find the same first ones of them.
+func (p *servicePool) rankInVersions() {
+	byVersion := make(map[string][]*member)
+	for _, m := range p.members {
+		byVersion[m.Version] = append(byVersion[m.Version], m)
+	}
+	for _, list := range byVersion {
+		slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.hash, b.hash) })
+		for i, m := range list {
+			m.versionRank, m.versionCount = i, len(list)
+		}
+	}
+}
+
+// isInShare reports whether the member belongs to the first ones of its version that
+// make up a share of them, at least one; zero stands for all.
+func (m *member) isInShare(share float64) bool {
+	return share == 0 || m.versionRank == 0 || float64(m.versionRank) < share*float64(m.versionCount)
+}
+
 // draw appends the upstreams to consider for a prompt: its homes and some others at
 // random, each once. The key is zero for none.
 func (p *servicePool) draw(rng *rand.Rand, key uint64, out []*member) []*member {
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -100,6 +100,8 @@
 	PlatformBusy         Code = 3006
 	// PlatformGone: the revision to watch from is no longer in the store's history.
 	PlatformGone Code = 3007
+	// RollOutTooShort: the roll-out has no time between its trial and its deadline.
+	RollOutTooShort Code = 3008
 )
 
 // Codes of calls between the fleet's processes (3100 to 3199).
@@ -180,6 +182,7 @@
 	PlatformTooLarge:     {"platform_too_large", http.StatusRequestEntityTooLarge, NotRun, 0},
 	PlatformBusy:         {"platform_busy", http.StatusTooManyRequests, NotRun, time.Second},
 	PlatformGone:         {"platform_gone", http.StatusGone, NotRun, 0},
+	RollOutTooShort:      {"rollout_too_short", http.StatusBadRequest, NotRun, 0},
 
 	PeerUnreachable:    {"peer_unreachable", http.StatusServiceUnavailable, Unknown, time.Second},
 	PeerRefused:        {"peer_refused", http.StatusForbidden, NotRun, 0},
