--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -11,6 +11,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/catalog"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
 	"github.com/cranberrypier/cranberrypier/internal/logs"
+	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/cranberrypier/cranberrypier/internal/vm"
 )
 
@@ -67,10 +68,9 @@
 	// group watches the store; relay decides whether this VM reads it itself.
 	group *catalog.Group
 	relay *relayState
-	// verdictFirstSeen holds when canary.Tick first returned each pending
-	// verdict. A verdict is a change of a roll-out's phase; it is pending until
-	// it is in the store.
-	verdictFirstSeen map[verdictKey]time.Time
+	// verdictDueAt holds when each pending verdict is written to the store next. A
+	// verdict is a change of a roll-out's phase; it is pending until it is in the store.
+	verdictDueAt map[verdictKey]time.Time
 }
 
 // verdictKey identifies a verdict.
@@ -89,7 +89,7 @@
 func NewFollower(s *Proxy, o Options, startedAt time.Time) *Follower {
 	return &Follower{
 		proxy: s, source: o.Source, docs: o.Documents, bounds: o.Settings.Bounds, history: o.Settings.Store.History, zone: o.Settings.Zone,
-		withdrawn: newWithdrawnZones(), rollOuts: make(map[string]rollOutObject), verdictFirstSeen: make(map[verdictKey]time.Time),
+		withdrawn: newWithdrawnZones(), rollOuts: make(map[string]rollOutObject), verdictDueAt: make(map[verdictKey]time.Time),
 		group: catalog.NewGroup(), relay: newRelayState(newRelayConfig(o, startedAt)),
 	}
 }
@@ -262,6 +262,10 @@
 	}
 	klog.InfoS("canary: roll-out applied", "service", rollOut.Service, "target", rollOut.NewVersion, "duration", rollOut.Duration,
 		"phase", rollOut.Phase, "revision", o.Revision)
+	if rollOut.Phase == canary.InProgress && !rollOut.CapsExposure() {
+		klog.InfoS("canary: the roll-out is too short to cap the exposure of a version that is not judged; all sessions move after the trial",
+			"code", int(result.RollOutTooShort), "service", rollOut.Service, "target", rollOut.NewVersion, "duration", rollOut.Duration)
+	}
 }
 
 func (f *Follower) removeRollOut(o catalog.Object) {
@@ -280,9 +284,8 @@
 	tickInterval = 100 * time.Millisecond
 	// verdictWriteTimeout limits one write of a verdict to the store.
 	verdictWriteTimeout = time.Second
-	// verdictRetryInterval is the pause after this VM has written verdicts,
-	// successfully or not. Until it ends, roll-outs are not judged and no
-	// verdict is written again.
+	// verdictRetryInterval is the pause after this VM has written a verdict,
+	// successfully or not, until it writes the same one again.
 	verdictRetryInterval = 700 * time.Millisecond
 )
 
@@ -292,7 +295,6 @@
 func (f *Follower) RunPeriodicTasks(ctx context.Context, liveInZone func() ([]string, int)) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	var nextWrite time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -304,40 +306,32 @@
 		f.updateReadDecision(now, zone, zones)
 		f.proxy.fleet.Expire(now)
 		f.expireWithdrawals(now)
-		if now.Before(nextWrite) {
-			continue
-		}
-		if f.writeDueVerdicts(ctx, now) {
-			nextWrite = now.Add(verdictRetryInterval)
-		}
+		f.writeDueVerdicts(ctx, now)
 	}
 }
 
-// writeDueVerdicts writes the verdicts that are due and reports whether there
-// were any.
-func (f *Follower) writeDueVerdicts(ctx context.Context, now time.Time) bool {
+// writeDueVerdicts judges the roll-outs and writes the verdicts that are due.
+func (f *Follower) writeDueVerdicts(ctx context.Context, now time.Time) {
 	f.proxy.mu.Lock()
 	verdicts := f.proxy.canary.Tick(now)
 	f.proxy.mu.Unlock()
 	if len(verdicts) == 0 {
-		clear(f.verdictFirstSeen)
-		return false
+		clear(f.verdictDueAt)
+		return
 	}
 	delay := f.verdictDelay()
-	wrote := false
 	for _, v := range verdicts {
 		key := verdictKey{v.RollOut.Service, v.RollOut.NewVersion, v.Phase}
-		firstSeen, known := f.verdictFirstSeen[key]
+		dueAt, known := f.verdictDueAt[key]
 		if !known {
-			firstSeen = now
-			f.verdictFirstSeen[key] = now
+			dueAt = now.Add(delay)
+			f.verdictDueAt[key] = dueAt
 		}
-		if now.Sub(firstSeen) >= delay {
+		if !now.Before(dueAt) {
 			f.writeVerdict(ctx, v)
-			wrote = true
+			f.verdictDueAt[key] = time.Now().Add(verdictRetryInterval)
 		}
 	}
-	return wrote
 }
 
 // writeVerdict writes a verdict to the store. If another VM wrote it first, the
@@ -359,6 +353,7 @@
 	err := f.source.WriteStatus(ctx, catalog.RollOuts, name, revision, f.docs.EncodeRollOutStatus(v.RollOut.NewVersion, v.Phase))
 	klog.InfoS("canary: tried to write the verdict to the store", "service", v.RollOut.Service, "target", v.RollOut.NewVersion, "phase", v.Phase, "age", v.Progress,
 		"new", v.New.Total, "newBad", v.New.Bad, "old", v.Old.Total, "oldBad", v.Old.Bad, "route", v.Route,
+		"newLoad", v.NewLoad.Mean(), "newLoadMost", v.NewLoad.Most, "oldLoad", v.OldLoad.Mean(), "oldLoadMost", v.OldLoad.Most,
 		"revision", revision, "err", logs.Err(err))
 	if err != nil {
 		return
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -103,9 +103,13 @@
 	rule := x.proxy.versionRule(now, x.req)
 	q := x.query(model)
 	q.Exclude = exclude
-	q.AllowVersion = rule.Preferred
+	q.AllowVersion, q.VersionShare = rule.Preferred, rule.PreferredShare
 	x.versionReason = rule.Reason
 	pick, reason := x.proxy.fleet.Pick(now, q)
+	if pick == nil && q.VersionShare > 0 {
+		q.VersionShare = 0
+		pick, reason = x.proxy.fleet.Pick(now, q)
+	}
 	if pick == nil && rule.Fallback != nil {
 		q.AllowVersion = rule.Fallback
 		x.versionReason = rule.Reason + ", other version"
@@ -169,7 +173,7 @@
 	conclusive = conclusive && x.outcomes.add(a)
 	x.proxy.recordAttemptOutcome(canary.Outcome{
 		Service: x.req.Service.Name, Version: a.pick.Version, Route: x.req.Route.Name,
-		Conclusive: conclusive, Bad: conclusive && (late || upstreamOutcome == fleet.OutcomeFailed),
+		Conclusive: conclusive, Bad: conclusive && (late || upstreamOutcome == fleet.OutcomeFailed), Running: a.running(),
 	})
 	a.recordPace(now)
 	x.proxy.recordCrashEvidence(now, a)
