edge: Another VM's refusal after nothing was sent there ends no stream

Cause: the other VM's error said 'may have run' because of the runs before it got the request, and its 4xx counted as final; the first VM then took all runs for used.

Change: an error response says how many attempts ran or may have run by then (Pier-Forward-Runs); 'elsewhere' is what the VM itself has not sent. If the number has not grown, nothing ran there and the stream may go on elsewhere. A probe that connects ends the upstream's and its zone's backoff. A reservation is dropped only once another VM has taken the request.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -32,8 +32,10 @@
 	// vm is the VM to which the request is forwarded; empty for an attempt at an
 	// upstream.
 	vm string
-	// finalError is true if the response is that VM's own error response.
+	// finalError is true if the response is that VM's own error response, and runsThere
+	// the number of attempts that ran or may have run by then.
 	finalError    bool
+	runsThere     int
 	model         string
 	startedAt     time.Time
 	head          *exchange.Head
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -161,7 +162,6 @@
 	if x.forwarded != nil || !f.unreachable(x.req.Service.Name) {
 		return nil
 	}
-	x.dropReservation()
 	for range maxForwardTries {
 		vm, ok := f.choose(x)
 		if !ok || x.ctx.Err() != nil {
@@ -170,6 +170,7 @@
 		x.tried = append(x.tried, vm.Name)
 		a := x.sendForward(vm)
 		if a.attemptStatus != exchange.NotSent && a.attemptStatus != exchange.Misdirected {
+			x.dropReservation()
 			x.proxy.isolation.recordUnserved(time.Now())
 			return a
 		}
@@ -197,17 +198,32 @@
 	a.timeToHead = time.Since(a.startedAt)
 	a.head = x.proxy.protocol.DecodeHead(resp, exchange.Attempt{Request: x.req})
 	a.head.Header.Del(forwardResultHeader)
+	a.head.Header.Del(forwardRunsHeader)
 	switch forwardResult(resp.Header.Get(forwardResultHeader)) {
 	case forwardResultElsewhere:
 		a.attemptStatus = exchange.Misdirected
 	case forwardResultFinal:
-		a.attemptStatus, a.finalError = exchange.Answered, true
+		a.finalError, a.runsThere = true, x.runsThere(resp.Header.Get(forwardRunsHeader))
+		a.attemptStatus = exchange.Unknown
+		if a.runsThere == x.runs {
+			a.attemptStatus = exchange.Rejected
+		}
 	default:
 		a.attemptStatus = exchange.Answered
 	}
 	return a
 }
 
+// runsThere decodes the number of runs that another VM reports. If it reports none, it
+// may have used all of them.
+func (x *requestState) runsThere(header string) int {
+	n, err := strconv.Atoi(header)
+	if err != nil || n < x.runs {
+		return max(x.runs+1, x.req.Route.MaxRuns)
+	}
+	return n
+}
+
 // newForwardRequest encodes the request for another VM: as the caller sent it, but with
 // the time that is left.
 func (x *requestState) newForwardRequest(ctx context.Context, address string) (*http.Request, error) {
@@ -263,12 +279,12 @@
 	switch {
 	case a.state.callerGone():
 		return "caller_gone"
+	case a.finalError:
+		return "error"
 	case a.attemptStatus == exchange.NotSent:
 		return "unreachable"
 	case a.attemptStatus == exchange.Misdirected:
 		return "refused"
-	case a.finalError:
-		return "error"
 	case a.err != nil || a.attemptStatus != exchange.Answered:
 		return "broken"
 	}
@@ -312,6 +328,7 @@
 		}
 		_ = conn.Close() // nothing was sent on it
 		s.recordContact(service, begunAt)
+		s.fleet.RecordReachable(address)
 		s.isolation.recordReachable()
 		return
 	}
--- a/internal/edge/forwarded.go
+++ b/internal/edge/forwarded.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cranberrypier/cranberrypier/internal/exchange"
@@ -18,6 +19,9 @@
 	// forwardResultHeader marks an error response that a VM generates itself for a
 	// request that another VM forwarded.
 	forwardResultHeader = "Pier-Forward-Result"
+	// forwardRunsHeader holds the number of attempts that ran or may have run by then,
+	// with those before the request was forwarded.
+	forwardRunsHeader = "Pier-Forward-Runs"
 	// maxForwardedRequests limits the requests of other VMs that this VM serves at the
 	// same time.
 	maxForwardedRequests = 256
@@ -115,11 +119,12 @@
 
 // markForwardResult marks an error response of this VM for the VM that forwarded the
 // request.
-func (x *requestState) markForwardResult(h http.Header, e *result.Error) {
+func (x *requestState) markForwardResult(h http.Header) {
 	if x.forwarded == nil {
 		return
 	}
-	unreached := x.sends == 0 && e.Run == result.NotRun && x.req.Service != nil && x.proxy.forwarder.unreachable(x.req.Service.Name)
+	h.Set(forwardRunsHeader, strconv.Itoa(x.runs))
+	unreached := x.sends == 0 && x.runs == x.forwarded.Runs && x.req.Service != nil && x.proxy.forwarder.unreachable(x.req.Service.Name)
 	if x.elsewhere || unreached {
 		h.Set(forwardResultHeader, string(forwardResultElsewhere))
 		return
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -159,6 +159,18 @@
 	}
 }
 
+// runsAfter returns the number of attempts that ran or may have run, with one that may
+// have.
+func (x *requestState) runsAfter(a *attempt) int {
+	switch {
+	case a.vm == "":
+		return x.runs + 1
+	case a.finalError:
+		return max(a.runsThere, x.runs)
+	}
+	return max(x.runs+1, x.req.Route.MaxRuns) // the other VM may have used all of them
+}
+
 // finishAttempt counts a finished attempt.
 func (x *requestState) finishAttempt(a *attempt, upstreamOutcome fleet.Outcome) {
 	if a.vm != "" {
@@ -189,10 +201,7 @@
 		x.sends++
 	}
 	if !a.attemptStatus.NotRun() {
-		x.runs++
-		if a.vm != "" {
-			x.runs = max(x.runs, x.req.Route.MaxRuns) // the other VM may have used all of them
-		}
+		x.runs = x.runsAfter(a)
 	}
 	now := time.Now()
 	d := retry.Decide(retry.Facts{
@@ -268,7 +277,7 @@
 	klog.InfoS("request: responding with an error of this VM", "request", x.req.ID, "code", int(e.Code), "name", x.outcome, "run", e.Run,
 		"because", reason, "retryAfter", e.RetryAfter.Milliseconds(), "tries", len(x.tried),
 		"isolated", x.proxy.isolation.isIsolated(), "connRequests", x.connRequests)
-	x.markForwardResult(x.w.Header(), e)
+	x.markForwardResult(x.w.Header())
 	x.proxy.writeError(x.w, x.req.ID, e)
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -283,6 +283,19 @@
 	return out
 }
 
+// RecordReachable records that the upstream at an address accepted a connection: it and
+// its zone no longer count as unreachable.
+func (f *Fleet) RecordReachable(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		if m.Address == address {
+			m.backoff, m.backoffUntil = 0, time.Time{}
+			f.zoneHealthOf(m).recordReachable()
+		}
+	}
+}
+
 // Versions returns the versions of a service's upstreams that are not leaving.
 func (f *Fleet) Versions(service string) []string {
 	f.mu.Lock()
