edge: A stream waits out a silence whether or not its VM counts as isolated

A VM is isolated after 0.5 s, and its waiting streams were aborted at once (4 of 4 cases of 1.0 and 1.5 s); a stream waited 2 s, but its only upstream could stay out of use for 1 s after a silence of 1.8 s (aborted at 1.4 and 1.8 s).

Change: the wait no longer looks at the isolation, and lasts for the silence, the longest backoff and a dial (3.2 s). No attempt is canceled for a successor while no upstream of the service is in reach. An upstream that can be picked comes before another VM.

--- a/internal/edge/patience.go
+++ b/internal/edge/patience.go
@@ -25,7 +25,7 @@
 // from the budget if takeRetry is true.
 func (x *requestState) reserve(exclude []string, takeRetry bool) bool {
 	now, service, budget := time.Now(), x.req.Service.Name, x.proxy.budget
-	if x.isContentBlocked() || takeRetry && budget.Remaining(now, service) < 1 {
+	if x.isContentBlocked() || x.proxy.forwarder.unreachable(service) || takeRetry && budget.Remaining(now, service) < 1 {
 		return false
 	}
 	current := x.versionReason
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -25,6 +25,9 @@
 	// stallTimeoutFactor is the timeout between events as a multiple of the
 	// route's TargetGap, the longest pause that still counts as on time.
 	stallTimeoutFactor = 1.5
+	// maxResumeWait is how long a stream that lost its upstream waits for one: a silence
+	// of all, then the backoff and the last connection that failed in it.
+	maxResumeWait = maxPeerSilence + fleet.MaxBackoff + upstreamDialTimeout
 )
 
 // streamState is the additional state of a streaming request.
@@ -103,7 +106,7 @@
 func (st *streamState) forwardAttempt(a *attempt) streamResult {
 	if a.finalError {
 		if st.headSent || !st.passFinalError(a) {
-			return streamBroken
+			return streamBroken // after the head, any other VM or upstream may go on
 		}
 		return streamDone
 	}
@@ -235,17 +238,16 @@
 
 // waitForUpstream waits until another upstream is reserved for a stream that has lost
 // its own, or the same one again: all may be silent for a moment. It gives up after
-// maxPeerSilence without an event, and at once on a VM that is isolated, whose caller
-// is served sooner elsewhere.
+// maxResumeWait without an event.
 func (st *streamState) waitForUpstream(takeRetry bool) bool {
 	if !st.headSent || !st.req.Route.Resumable || st.runs >= st.req.Route.MaxRuns {
 		return false
 	}
 	if st.resumeBy.IsZero() {
-		st.resumeBy = time.Now().Add(maxPeerSilence)
+		st.resumeBy = time.Now().Add(maxResumeWait)
 	}
-	for time.Now().Before(st.resumeBy) && !st.proxy.isolation.isIsolated() && ctxwait.For(st.ctx, retryCheckInterval) {
-		if st.mayForward(takeRetry) || st.reserve(nil, takeRetry) {
+	for time.Now().Before(st.resumeBy) && ctxwait.For(st.ctx, retryCheckInterval) {
+		if st.reserve(nil, takeRetry) || st.mayForward(takeRetry) {
 			return true
 		}
 	}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -25,10 +25,10 @@
 	// outcomes, so that an upstream receives requests again and can show that it
 	// has recovered.
 	failureHalfLife = 3 * time.Second
-	// minBackoff and maxBackoff bound the backoff after a failed connection. A sound
-	// upstream that was silent for a moment is out of use for maxBackoff at most.
+	// minBackoff and MaxBackoff bound the backoff after a failed connection. A sound
+	// upstream that was silent for a moment is out of use for MaxBackoff at most.
 	minBackoff = 400 * time.Millisecond
-	maxBackoff = time.Second
+	MaxBackoff = time.Second
 	// latencyWeight is the weight of the newest sample in the average latency.
 	latencyWeight = 0.2
 	// msPerTokenUpWeight and msPerTokenDownWeight are the weights of a sample above
@@ -110,7 +110,7 @@
 	if now.Before(m.backoffUntil) {
 		return
 	}
-	m.backoff = min(max(2*m.backoff, minBackoff), maxBackoff)
+	m.backoff = min(max(2*m.backoff, minBackoff), MaxBackoff)
 	m.backoffUntil = now.Add(m.backoff)
 }
 
--- a/internal/fleet/zone.go
+++ b/internal/fleet/zone.go
@@ -32,7 +32,7 @@
 	if len(z.unreachableIDs) < zoneUnreachableThreshold || z.isUnreachable(now) {
 		return
 	}
-	z.backoff = min(max(2*z.backoff, minBackoff), maxBackoff)
+	z.backoff = min(max(2*z.backoff, minBackoff), MaxBackoff)
 	z.unreachableUntil = now.Add(z.backoff)
 }
 
