edge: A caller that closes its side gets no empty success

A caller that closed its side of the connection after its request got 'HTTP/1.1 200 OK' with no body and no signature: the VM takes the request for given up and writes nothing, and net/http ends such a handler with a success.

Change: the VM closes the connection without an answer; the request's last log line is written as before. Test: TestHalfClosedCallerGetsAnEmptySuccess, three routes, failed before on all three.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -296,3 +298,22 @@
 	assert.False(t, s.vms[0].ready())
 	assert.Equal(t, 200, (<-results).status)
 }
+
+// Guards against an empty success for a caller that closes its side of the connection
+// after it has sent its request.
+func TestHalfClosedCallerGetsAnEmptySuccess(t *testing.T) {
+	s := newStandardSite(t)
+	s.setFaults("", platformside.ReplicaFaults{Delay: 300 * time.Millisecond})
+	for i, path := range []string{"/once/x", "/look/x", "/chat/x"} {
+		conn, err := net.Dial("tcp", s.vms[0].settings.CallerAddress)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: h%d\r\nApi-Key: %s\r\nX-Model: small\r\nX-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n", path, host, i, key)
+		require.NoError(t, err)
+		time.Sleep(50 * time.Millisecond)
+		require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+		raw, err := io.ReadAll(conn)
+		assert.NoError(t, err)
+		assert.NotContains(t, string(raw), "200 OK", path)
+	}
+}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -247,8 +247,8 @@
 // respondFailed responds to a request after its last attempt has failed.
 func (x *requestState) respondFailed(a *attempt) {
 	switch {
-	case x.ctx.Err() != nil && time.Now().Before(x.req.Deadline):
-		x.outcome = "caller_gone"
+	case x.callerGone():
+		x.endCallerGone()
 	case x.sendFallback():
 	case x.runs == 0 && x.blockedFor > 0:
 		x.respondError(x.contentBlockedError(), a.attemptStatus.String())
@@ -262,6 +262,14 @@
 	}
 }
 
+// endCallerGone closes the connection of a caller that has disconnected or has closed its
+// side. net/http would end a handler that wrote nothing with an empty success.
+func (x *requestState) endCallerGone() {
+	x.outcome = "caller_gone"
+	x.finishRequest() // the panic skips the call in serve
+	panic(http.ErrAbortHandler)
+}
+
 // errorBody is the body of an error response that this VM generates itself.
 type errorBody struct {
 	Code   result.Code     `json:"code"`
