fleet, edge: Brittle upstreams are not sent more than they have room for

Callers would see: an upstream that says Server-Brittle: N crashes when it has to reject more than N requests in a second. Under overload each VM passed a rejected request on to the next upstream, so that one after the other crashed, and those that were back were rushed.

Cause: nothing read the announcement, and a rejection was only a reason to try another upstream.

Change: platform translates the header (exchange.Head.BrittleLimit). The fleet keeps it by service, with the time at which any VM heard it; each VM passes it on in its datagrams, with the sign that the service is full, and an answer without it ends the brittle time. A request is sent to a brittle upstream only where a request of this VM has just ended (its place), where less than half of the slots are in use and the service is not full, or where it is this VM's turn to try. The tries of all VMs are 0.4 of N a second, divided in advance by rank and turn. What finds neither waits in the VM for up to 0.5 s, at most 64 requests a service, or is refused with 1103 (because all_full) and a Retry-After from the pace at which this VM's requests end; each refused caller is told a later time. Such a refusal does not count for isolation. An upstream that returns, or a VM that starts, begins with tries. Counters pier_brittle_services and pier_brittle_requests_total, a log line at the begin and the end, and one for each rejection.

--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -98,6 +98,7 @@
 		canary: canary.New(incarnationName(self), b.ExposureShare, b.SessionTTL),
 		poison: poison.New(o.Settings.Name),
 		gains:  modelchoice.NewGains(),
+		rooms:  newRoomQueue(),
 	}
 	follower := NewFollower(s, o, time.Now())
 	o.Metrics.registerGauges(s, follower)
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -302,6 +302,7 @@
 		zone, zones := liveInZone()
 		f.updateReadDecision(now, zone, zones)
 		f.proxy.fleet.Expire(now)
+		f.proxy.expireBrittle(now)
 		f.expireWithdrawals(now)
 		if now.Before(nextWrite) {
 			continue
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -25,6 +25,7 @@
 	duration      *prometheus.HistogramVec
 	attempts      *prometheus.CounterVec
 	bodyEnds      *prometheus.CounterVec
+	brittle       *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	storeReasons  *prometheus.CounterVec
 	storeDuration *prometheus.HistogramVec
@@ -65,9 +66,10 @@
 		storeDuration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "pier_store_call_seconds", Help: "Time of calls to the platform's store by operation.", Buckets: latencyBuckets,
 		}, []string{"operation"}),
-		routes: labelSet{maxValues: maxRouteLabels},
+		brittle: newBrittleCounter(),
+		routes:  labelSet{maxValues: maxRouteLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.storeCalls, m.storeReasons, m.storeDuration)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.brittle, m.storeCalls, m.storeReasons, m.storeDuration)
 	return m
 }
 
@@ -80,6 +82,7 @@
 		"pier_config_version":    {"Version of the configuration in force.", func() float64 { return float64(s.configVersion()) }},
 		"pier_upstreams":         {"Upstreams that are listed.", func() float64 { return float64(s.fleet.Len()) }},
 		"pier_known_vms":         {"Entry VMs that share the fleet-wide bounds.", func() float64 { return float64(s.fleet.VMCount()) }},
+		"pier_brittle_services":  {"Services whose upstreams crash if they have to reject too many requests.", func() float64 { return float64(s.fleet.BrittleServices(time.Now())) }},
 		"pier_isolated":          {"1 while no upstream is in reach.", s.isolation.gauge},
 		"pier_blocked_contents":  {"Contents of requests that crash upstreams and are not sent.", s.blockedContents},
 		"pier_reads_store":       {"1 while this VM reads the store itself.", f.readsStoreGauge},
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -17,6 +17,7 @@
 		ConfigVersion:   s.configVersion,
 		Suspects:        s.suspects,
 		Departures:      s.fleet.RecentDepartures,
+		Brittle:         s.fleet.BrittleReports,
 		OnMessage:       s.applyMessage,
 		OnMembership:    s.setVMs,
 		IncarnationName: incarnationName,
@@ -40,6 +41,7 @@
 	if len(m.Suspects) == 0 {
 		s.fleet.SetRemoteLoads(now, m.From.Name, m.Loads)
 	}
+	s.mergeBrittle(now, m.From.Name, m.Brittle)
 	for _, d := range m.Departures {
 		if s.fleet.RecordLeaving(now, d, false) {
 			klog.InfoS("fleet: another VM reported that the upstream is leaving", "upstream", d.Upstream, "born", d.Incarnation, "from", m.From.Name)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -60,8 +60,8 @@
 	return x.ctx.Err() != nil && time.Now().Before(x.req.Deadline)
 }
 
-// pick chooses an upstream for the next attempt.
-func (x *requestState) pick(model string) (*fleet.Pick, fleet.Reason) {
+// pickNow chooses an upstream for the next attempt without waiting.
+func (x *requestState) pickNow(model string) (*fleet.Pick, fleet.Reason) {
 	now := time.Now()
 	rule := x.proxy.versionRule(now, x.req)
 	q := x.query(model)
@@ -111,6 +111,7 @@
 func (x *requestState) finishAttempt(a *attempt, upstreamOutcome fleet.Outcome) {
 	now := time.Now()
 	x.proxy.fleet.Done(now, a.pick, upstreamOutcome)
+	x.proxy.rooms.requestEnded(x.req.Service.Name)
 	// Only a response of the upstream itself says anything about its version.
 	late := a.late(now)
 	conclusive := late || upstreamOutcome == fleet.OutcomeSuccess || (upstreamOutcome == fleet.OutcomeFailed && a.attemptStatus == exchange.Answered)
@@ -159,7 +160,9 @@
 	if x.sendFallback() {
 		return
 	}
-	x.recordUnserved()
+	if reason != fleet.AllFull { // that the upstreams have no room says that they are reachable
+		x.recordUnserved()
+	}
 	if x.runs > 0 {
 		x.respondError(result.New(result.UpstreamFailed, "no other upstream can accept the request").WithRun(result.Unknown), string(reason))
 		return
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -41,6 +41,7 @@
 	config    atomic.Pointer[routing.Config]
 	stop      atomic.Pointer[stopPlan] // nil until a planned stop begins
 	isolation isolation
+	rooms     *roomQueue
 
 	mu     sync.Mutex // guards canary, poison and gains
 	canary *canary.Core
@@ -236,6 +237,9 @@
 	if left := s.fleet.PauseLeft(time.Now(), service); left > 0 {
 		return max(left, shortRetryAfter)
 	}
+	if left := s.fleet.RoomExpectedIn(time.Now(), service); left > 0 && (reason == fleet.AllFull || reason == fleet.NoneReachable) {
+		return max(left, shortRetryAfter)
+	}
 	if isolatedFor, suspected := s.isolation.status(time.Now()); suspected {
 		return max(failoverRetryAfter-isolatedFor, shortRetryAfter)
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -139,6 +139,9 @@
 	// Leaving is true if the upstream announces that it is leaving. It then wants no
 	// further requests.
 	Leaving bool
+	// BrittleLimit is the number of requests above which the upstream crashes if it has
+	// to reject them in one second for want of room; zero for no such limit.
+	BrittleLimit int
 	// PauseFor is how long the upstream, which rejected the request, wants no further
 	// requests from this VM; zero for no pause.
 	PauseFor time.Duration
--- a/internal/fake/platformside/replica.go
+++ b/internal/fake/platformside/replica.go
@@ -84,6 +84,8 @@
 	// Confidence is the reported confidence, 0 to 100, by model; a model that is
 	// not listed reports 100.
 	Confidence map[string]int
+	// Room limits the requests that the replica runs and queues; nil for no limit.
+	Room *Room
 
 	mu           sync.Mutex
 	faults       ReplicaFaults
@@ -163,10 +165,17 @@
 	if err != nil {
 		return // the request body is incomplete
 	}
-	run := p.recordRun(r, string(body))
-	defer p.finishRun(run, r)
-	time.Sleep(f.Delay)
-	p.respond(w, r, run, f)
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		run := p.recordRun(r, string(body))
+		defer p.finishRun(run, r)
+		time.Sleep(f.Delay)
+		p.respond(w, r, run, f)
+	}
+	if p.Room != nil {
+		p.serveInRoom(w, r, serve)
+		return
+	}
+	serve(w, r)
 }
 
 func (p *Replica) recordRun(r *http.Request, body string) *Run {
@@ -211,7 +220,11 @@
 		run = &other
 	}
 	w.Header().Set("X-Attempt-Id", run.ID)
-	w.Header().Set("X-Replica-Load", "1,0,8")
+	if p.Room == nil {
+		w.Header().Set("X-Replica-Load", "1,0,8")
+	} else {
+		p.Room.setHeaders(w.Header())
+	}
 	if run.Model != "" && !f.Fail {
 		p.writeStream(w, r, run, f)
 		return
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -79,6 +80,11 @@
 	// graceUntil is the end of the period in which removals are delayed.
 	graceUntil time.Time
 	departures departures
+	brittle    map[string]*brittleService // by service
+	// knowsBrittle is whether brittle is not empty. It is read without the lock.
+	knowsBrittle atomic.Bool
+	// firstListed is when the first list of upstreams arrived.
+	firstListed time.Time
 }
 
 // New returns an empty fleet.
@@ -87,7 +93,7 @@
 		cfg: cfg, members: make(map[string]*member), pools: make(map[string]*servicePool),
 		rng:       rand.New(rand.NewPCG(xxhash.Sum64String(cfg.VM), 0)), //nolint:gosec // draws upstreams
 		withdrawn: make(map[string]bool), zoneHealth: make(map[string]*zoneHealth), vmReports: make(map[string]*vmReport), coldRates: make(map[string]float64), msPerToken: make(map[string]float64),
-		departures: newDepartures(),
+		departures: newDepartures(), brittle: make(map[string]*brittleService),
 	}
 }
 
@@ -133,6 +139,9 @@
 func (f *Fleet) Replace(now time.Time, list []Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.firstListed.IsZero() {
+		f.firstListed = now
+	}
 	listed := make(map[string]bool, len(list))
 	for _, u := range list {
 		listed[u.ID] = true
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -61,6 +61,9 @@
 	// NoneReachable: some allowed upstreams were recently unreachable and may not be
 	// tried by this attempt; the others, if any, are at their cold limit.
 	NoneReachable Reason = "all_down"
+	// AllFull: the service is brittle, and no allowed upstream has room for one more
+	// request as far as this VM knows.
+	AllFull Reason = "all_full"
 	// AllPaused: all allowed upstreams want no requests for some time, except for
 	// those of the other reasons.
 	AllPaused Reason = "all_paused"
@@ -92,6 +95,9 @@
 	defer f.mu.Unlock()
 	c, reason := f.choose(now, q)
 	if c.member == nil {
+		if b := f.brittleOf(now, q.Service); b != nil && reason == AllFull {
+			b.recordFullness(now, 1)
+		}
 		return nil, reason
 	}
 	return f.startAttempt(now, q, c), Picked
@@ -136,6 +142,9 @@
 	if len(eligible) == 0 {
 		return choice{}, reason
 	}
+	if b := f.brittleOf(now, q.Service); b != nil {
+		eligible = f.preferRoom(now, b, q.FirstAttempt, eligible)
+	}
 	key, msPerToken := q.promptKey(), f.msPerTokenOf(q.Model)
 	preferred, second := p.preferred(key, eligible)
 	preferredShare, secondShare := uncachedShares(len(p.members))
@@ -164,7 +173,7 @@
 	if len(p.members) > maxFullChoice {
 		f.drawnBuf = p.draw(f.rng, q.promptKey(), f.drawnBuf[:0])
 		drawn := slices.DeleteFunc(f.drawnBuf, func(m *member) bool {
-			return !f.isAllowed(q, m) || f.availabilityOf(now, m) != available
+			return !f.isAllowed(q, m) || f.availabilityOf(now, q, m) != available
 		})
 		if len(drawn) > 0 {
 			return drawn, Picked
@@ -182,11 +191,13 @@
 	paused
 	// unreachable upstreams were recently unreachable.
 	unreachable
+	// full upstreams are brittle, and have no room as far as this VM knows.
+	full
 	// coldLimited upstreams are cold, and this VM has used up its limit for them.
 	coldLimited
 )
 
-func (f *Fleet) availabilityOf(now time.Time, m *member) availability {
+func (f *Fleet) availabilityOf(now time.Time, q Query, m *member) availability {
 	switch {
 	case now.Before(m.pausedUntil):
 		return paused
@@ -194,6 +205,8 @@
 		return unreachable
 	case f.coldLimitReached(now, m):
 		return coldLimited
+	case f.isFull(now, q, m):
+		return full
 	}
 	return available
 }
@@ -215,7 +228,7 @@
 		if !f.isAllowed(q, m) {
 			continue
 		}
-		a := f.availabilityOf(now, m)
+		a := f.availabilityOf(now, q, m)
 		seen[a] = true
 		switch a {
 		case available:
@@ -227,8 +240,10 @@
 	switch {
 	case len(reachable) > 0:
 		return reachable, Picked
+	case seen[full]:
+		return nil, AllFull
 	case len(unreached) > 0 && q.FirstAttempt && !seen[coldLimited]:
-		unreached = slices.DeleteFunc(unreached, func(m *member) bool { return f.coldLimitReached(now, m) })
+		unreached = slices.DeleteFunc(unreached, func(m *member) bool { return f.coldLimitReached(now, m) || f.isFull(now, q, m) })
 		if len(unreached) == 0 {
 			return nil, ColdLimitReached
 		}
@@ -306,6 +321,7 @@
 		p.prefillTokens = c.UncachedTokens + firstTokenOverheadTokens
 		p.prefillMs = float64(p.prefillTokens) * c.MsPerToken
 	}
+	f.takeRoom(now, m, q.FirstAttempt)
 	m.inflight++
 	m.prefillMs += p.prefillMs
 	if f.coldRates[m.Service] > 0 {
@@ -392,7 +408,9 @@
 		return
 	}
 	m.inflight--
-	if !p.firstByteSeen {
+	if p.firstByteSeen {
+		f.leavePlace(now, m)
+	} else {
 		p.firstByteSeen = true
 		m.prefillMs -= p.prefillMs
 	}
@@ -404,6 +422,7 @@
 	case OutcomeUnreachable:
 		m.recordOutcome(now, true)
 		m.recordUnreachable(now)
+		m.dropPlaces(now)
 		f.zoneHealthOf(m).recordUnreachable(now, m.ID)
 	case OutcomeMisdirected:
 		m.addressTaken = true
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -47,6 +47,8 @@
 	Digest *relay.Digest `cbor:"7,keyasint,omitempty"`
 	// Departures are upstreams that recently announced that they are leaving.
 	Departures []fleet.Departure `cbor:"8,keyasint,omitempty"`
+	// Brittle are the services whose upstreams are or were brittle, as far as From knows.
+	Brittle []fleet.BrittleReport `cbor:"11,keyasint,omitempty"`
 	// StoreTroubleMS is the time in milliseconds, at least 1, since a VM of From's
 	// zone last tried to read the store without success; zero if none did lately.
 	StoreTroubleMS int64 `cbor:"9,keyasint,omitempty"`
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -147,10 +147,13 @@
 			RollOuts: func(time.Time) []canary.Report {
 				return []canary.Report{{Service: "s", NewVersion: "v2", AgeMS: 5}}
 			},
-			IsUrgent:        func(time.Time) bool { return false },
-			ConfigVersion:   func() uint64 { return 7 },
-			Suspects:        func(time.Time) []poison.Suspect { return nil },
-			Departures:      func(time.Time) []fleet.Departure { return []fleet.Departure{{Upstream: "u2", Incarnation: 4}} },
+			IsUrgent:      func(time.Time) bool { return false },
+			ConfigVersion: func() uint64 { return 7 },
+			Suspects:      func(time.Time) []poison.Suspect { return nil },
+			Departures:    func(time.Time) []fleet.Departure { return []fleet.Departure{{Upstream: "u2", Incarnation: 4}} },
+			Brittle: func(time.Time) []fleet.BrittleReport {
+				return []fleet.BrittleReport{{Service: "s", Limit: 8, HeardMS: 2}}
+			},
 			Digest:          func(time.Time) *relay.Digest { return &relay.Digest{AgeMS: 3, Revisions: []uint64{1, 9}} },
 			StoreTrouble:    func(time.Time) (time.Duration, bool) { return 20 * time.Millisecond, true },
 			OnMessage:       func(_ time.Time, m Message) { received <- m },
@@ -172,6 +175,7 @@
 		assert.Equal(t, &relay.Digest{AgeMS: 3, Revisions: []uint64{1, 9}}, m.Digest)
 		assert.Equal(t, int64(20), m.StoreTroubleMS)
 		assert.Equal(t, []fleet.Departure{{Upstream: "u2", Incarnation: 4}}, m.Departures)
+		assert.Equal(t, []fleet.BrittleReport{{Service: "s", Limit: 8, HeardMS: 2}}, m.Brittle)
 		return loads["vm-0"] && loads["vm-1"] && rollOuts["vm-0"] && rollOuts["vm-1"]
 	}, 5*time.Second, time.Millisecond)
 	require.Eventually(t, func() bool { return len(<-known) == 2 }, 5*time.Second, time.Millisecond)
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -58,6 +58,7 @@
 	ConfigVersion func() uint64
 	Suspects      func(now time.Time) []poison.Suspect
 	Departures    func(now time.Time) []fleet.Departure
+	Brittle       func(now time.Time) []fleet.BrittleReport
 	// Digest returns the digest of this VM's copy of the store; nil before the copy
 	// was first confirmed.
 	Digest func(now time.Time) *relay.Digest
@@ -216,7 +217,7 @@
 func (s *Service) round(now time.Time, loads []fleet.VMLoad, withMembers bool) {
 	m := Message{
 		From: s.self, Loads: loads, ConfigVersion: s.callbacks.ConfigVersion(), Digest: s.callbacks.Digest(now),
-		Departures: s.callbacks.Departures(now),
+		Departures: s.callbacks.Departures(now), Brittle: s.callbacks.Brittle(now),
 	}
 	if age, ok := s.callbacks.StoreTrouble(now); ok {
 		m.StoreTroubleMS = max(age.Milliseconds(), 1)
@@ -253,8 +254,8 @@
 }
 
 // encode encodes a message. While the datagram is too long, it halves the departures,
-// then the suspects, the relayed counters of roll-outs, the members and
-// the loads; a later datagram can carry the dropped entries. If the datagram is
+// then the suspects, the relayed counters of roll-outs, the members,
+// the loads and the brittle services; a later datagram can carry the dropped entries. If the datagram is
 // still too long without them, it is returned as it is.
 func encode(m Message) []byte {
 	for {
@@ -275,6 +276,8 @@
 			m.Members = m.Members[:len(m.Members)/2]
 		case len(m.Loads) > 0:
 			m.Loads = m.Loads[:len(m.Loads)/2]
+		case len(m.Brittle) > 0:
+			m.Brittle = m.Brittle[:len(m.Brittle)/2]
 		default:
 			return raw
 		}
