fleet: A brittle service is full by the average of its VMs

Callers would see: at half of the capacity, 300 VMs refused a quarter of the requests to a brittle service, although its upstreams had room. Upstreams that do not report their load still fell at 0.8 of the capacity.

Cause: if any VM found the service full, all VMs did for a second, and of 300 some VM nearly always does. A request that waits was counted as a new finding each time that it looked for room. Places of VMs that send less often than every 0.4 s expired unused. Where the load is hidden, the threshold of one half was too high.

Change: each VM reports how full it finds the service; the average of its own finding and of the others' decides, from 0.12 on. A waiting request counts once. A place is held for 1 s where the upstream reports its load.

--- a/internal/edge/brittle.go
+++ b/internal/edge/brittle.go
@@ -92,7 +92,7 @@
 // pick chooses an upstream for the next attempt. If the service is brittle and has no
 // room, the request waits for a short time.
 func (x *requestState) pick(model string) (*fleet.Pick, fleet.Reason) {
-	pick, reason := x.pickNow(model)
+	pick, reason := x.pickNow(model, false)
 	if reason != fleet.AllFull {
 		return pick, reason
 	}
@@ -125,7 +125,7 @@
 		case <-q.wake:
 		case <-again.C:
 		}
-		if pick, reason := x.pickNow(model); reason != fleet.AllFull {
+		if pick, reason := x.pickNow(model, true); reason != fleet.AllFull {
 			return pick, reason
 		}
 	}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -61,10 +61,11 @@
 }
 
 // pickNow chooses an upstream for the next attempt without waiting.
-func (x *requestState) pickNow(model string) (*fleet.Pick, fleet.Reason) {
+func (x *requestState) pickNow(model string, waiting bool) (*fleet.Pick, fleet.Reason) {
 	now := time.Now()
 	rule := x.proxy.versionRule(now, x.req)
 	q := x.query(model)
+	q.Waiting = waiting
 	q.AllowVersion = rule.Preferred
 	x.versionReason = rule.Reason
 	pick, reason := x.proxy.fleet.Pick(now, q)
--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -30,8 +30,10 @@
 	// brittleSettleTime is how long after the latest announcement an answer without one
 	// ends the brittle time, because answers overtake each other.
 	brittleSettleTime = time.Second
-	// placeTTL is how long a place is held.
-	placeTTL = 400 * time.Millisecond
+	// placeTTL is how long a place is held, and hiddenPlaceTTL how long at an upstream
+	// that does not report its load, where the VMs know less of each other's requests.
+	placeTTL       = time.Second
+	hiddenPlaceTTL = 400 * time.Millisecond
 	// tryCycle is the time in which all tries of an upstream take their turn.
 	tryCycle = 2 * time.Second
 	// tryShare is the share of the rejections that is divided among the VMs. The rest
@@ -54,7 +56,9 @@
 	// fullnessWeight is the weight of the newest answer in a service's fullness, and
 	// fullThreshold the fullness from which on the service counts as full.
 	fullnessWeight = 0.1
-	fullThreshold  = 0.5
+	// reportWeight is the weight of another VM's newest report.
+	reportWeight  = 0.05
+	fullThreshold = 0.12
 	// freeShare is the share of an upstream's slots up to which it receives requests
 	// without a place or a try, and growthShare the one up to which a request that has
 	// ended leaves a second place.
@@ -68,15 +72,17 @@
 	active  bool
 	heardAt time.Time // when an upstream last announced it to any VM
 	endedAt time.Time // when an answer to any VM ended the brittle time
-	fullAt  time.Time // when a VM last found the service full
-	// fullness is the share of the latest answers to this VM that showed no free slot.
-	fullness float64
-	room     roomForecast
+	fullAt  time.Time // when the service was last found full
+	// fullness is the share of this VM's latest requests that found no free slot, or no
+	// room at all; othersFullness is the average of what the other VMs report.
+	fullness, othersFullness float64
+	hasReports               bool
+	room                     roomForecast
 }
 
 // upstreamRoom is what this VM knows of the room at one upstream of a brittle service.
 type upstreamRoom struct {
-	places []time.Time // the expiry times of the places that this VM holds, in order
+	places []time.Time // the expiry times of the places that this VM holds
 	// triedTurn is the turn of this VM's latest try.
 	triedTurn int64
 	// fullAt is when the upstream last showed that it has no free slot, and
@@ -177,7 +183,25 @@
 // that found no room, and 0 for any other answer.
 func (b *brittleService) recordFullness(now time.Time, sample float64) {
 	b.fullness += fullnessWeight * (sample - b.fullness)
-	if b.fullness > fullThreshold {
+	b.updateFull(now)
+}
+
+// recordReport adds another VM's fullness.
+func (b *brittleService) recordReport(now time.Time, fullness float64) {
+	if !b.hasReports {
+		b.othersFullness = fullness
+	}
+	b.hasReports = true
+	b.othersFullness += reportWeight * (fullness - b.othersFullness)
+	b.updateFull(now)
+}
+
+func (b *brittleService) updateFull(now time.Time) {
+	fullness := b.fullness
+	if b.hasReports {
+		fullness = (b.fullness + b.othersFullness) / 2
+	}
+	if fullness > fullThreshold {
 		b.fullAt = now
 	}
 }
@@ -234,10 +258,11 @@
 	return noRoom
 }
 
+// hold adds a place that expires at a time.
+func (r *upstreamRoom) hold(until time.Time) { r.places = append(r.places, until) }
+
 func (r *upstreamRoom) expire(now time.Time) {
-	for len(r.places) > 0 && !now.Before(r.places[0]) {
-		r.places = r.places[1:]
-	}
+	r.places = slices.DeleteFunc(r.places, func(until time.Time) bool { return !now.Before(until) })
 }
 
 // hasFreeSlot reports whether an upstream has a free slot as far as this VM knows. That
@@ -341,9 +366,13 @@
 	if occupied > slots {
 		return
 	}
-	m.room.places = append(m.room.places, now.Add(placeTTL))
-	if m.hasReport(now) && occupied < slots*growthShare {
-		m.room.places = append(m.room.places, now.Add(placeTTL))
+	if !m.hasReport(now) {
+		m.room.hold(now.Add(hiddenPlaceTTL))
+		return
+	}
+	m.room.hold(now.Add(placeTTL))
+	if occupied < slots*growthShare {
+		m.room.hold(now.Add(placeTTL))
 	}
 }
 
--- a/internal/fleet/brittlereport.go
+++ b/internal/fleet/brittlereport.go
@@ -21,9 +21,9 @@
 	Limit   int    `cbor:"2,keyasint"`
 	// HeardMS is the age of the latest announcement to any VM.
 	HeardMS int64 `cbor:"3,keyasint"`
-	// FullMS is the age of the latest finding that the service is full, and EndedMS that of
-	// the latest end of the brittle time, each at least 1; zero for none.
-	FullMS  int64 `cbor:"4,keyasint,omitempty"`
+	// FullPercent is the sender's own fullness.
+	FullPercent int `cbor:"4,keyasint,omitempty"`
+	// EndedMS is the age of the latest end of the brittle time, at least 1; zero for none.
 	EndedMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
@@ -40,7 +40,7 @@
 			continue
 		}
 		out = append(out, BrittleReport{
-			Service: service, Limit: b.limit, HeardMS: now.Sub(b.heardAt).Milliseconds(), FullMS: ageMS(now, b.fullAt), EndedMS: ageMS(now, b.endedAt),
+			Service: service, Limit: b.limit, HeardMS: now.Sub(b.heardAt).Milliseconds(), FullPercent: int(100 * b.fullness), EndedMS: ageMS(now, b.endedAt),
 		})
 	}
 	slices.SortFunc(out, func(a, b BrittleReport) int {
@@ -74,9 +74,7 @@
 	}
 	change := f.heardBrittle(age(r.HeardMS), r.Service, r.Limit)
 	b := f.brittle[r.Service]
-	if full := age(r.FullMS); r.FullMS > 0 && full.After(b.fullAt) {
-		b.fullAt = full
-	}
+	b.recordReport(now, float64(r.FullPercent)/100)
 	if ended := age(r.EndedMS); r.EndedMS > 0 && b.active && ended.Sub(b.heardAt) >= brittleSettleTime {
 		b.active, b.endedAt = false, ended
 		return BrittleEnded
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -26,6 +26,8 @@
 	// FirstAttempt is true for a request's first attempt. Only a first attempt may
 	// use an upstream that was recently unreachable; others fail immediately instead.
 	FirstAttempt bool
+	// Waiting is true if the request found no room at a brittle service a short time ago.
+	Waiting bool
 	// Regions are lists of allowed regions. The upstream's region must be in each of
 	// them; empty lists allow all regions.
 	Regions [][]string
@@ -95,7 +97,7 @@
 	defer f.mu.Unlock()
 	c, reason := f.choose(now, q)
 	if c.member == nil {
-		if b := f.brittleOf(now, q.Service); b != nil && reason == AllFull {
+		if b := f.brittleOf(now, q.Service); b != nil && reason == AllFull && !q.Waiting {
 			b.recordFullness(now, 1)
 		}
 		return nil, reason
