--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -53,12 +53,12 @@
 	// settlePeriod is how long after it first saw an upstream a VM tries it. A VM that
 	// starts does not know the others yet.
 	settlePeriod = 2 * time.Second
-	// fullnessWeight is the weight of the newest answer in a service's fullness, and
-	// fullThreshold the fullness from which on the service counts as full.
+	// fullnessWeight is the weight of the newest answer in a VM's fullness of a service,
+	// and reportWeight that of the newest report in the other VMs' fullness. A service
+	// counts as full from the average fullThreshold on.
 	fullnessWeight = 0.1
-	// reportWeight is the weight of another VM's newest report.
-	reportWeight  = 0.05
-	fullThreshold = 0.12
+	reportWeight   = 0.05
+	fullThreshold  = 0.12
 	// freeShare is the share of an upstream's slots up to which it receives requests
 	// without a place or a try, and growthShare the one up to which a request that has
 	// ended leaves a second place.
