--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -107,6 +107,7 @@
 		canary: canary.New(incarnationName(self), canary.Exposure{Share: b.ExposureShare, Tolerance: b.ExposureSlack}, b.SessionTTL),
 		poison: poison.New(o.Settings.Name),
 		gains:  modelchoice.NewGains(),
+		rooms:  newRoomQueue(),
 
 		forwarder: newForwarder(o.Settings.Name, o.Settings.Zone, o.Settings.RegionByZone),
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -27,6 +27,7 @@
 	bodyEnds      *prometheus.CounterVec
 	forwards      *prometheus.CounterVec
 	attemptEnds   *prometheus.CounterVec
+	brittle       *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	storeReasons  *prometheus.CounterVec
 	storeDuration *prometheus.HistogramVec
@@ -73,9 +74,10 @@
 		storeDuration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "pier_store_call_seconds", Help: "Time of calls to the platform's store by operation.", Buckets: latencyBuckets,
 		}, []string{"operation"}),
-		routes: labelSet{maxValues: maxRouteLabels},
+		brittle: newBrittleCounter(),
+		routes:  labelSet{maxValues: maxRouteLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.storeCalls, m.storeReasons, m.storeDuration)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.storeCalls, m.storeReasons, m.storeDuration)
 	return m
 }
 
@@ -93,6 +95,7 @@
 		"pier_blocked_contents":     {"Contents of requests that crash upstreams and are not sent.", s.blockedContents},
 		"pier_reads_store":          {"1 while this VM reads the store itself.", f.readsStoreGauge},
 		"pier_store_age_seconds":    {"Age of the latest proof that nothing of the store is missing.", f.storeAgeGauge},
+		"pier_brittle_services":     {"Services whose upstreams crash if they have to reject too many requests.", func() float64 { return float64(s.fleet.BrittleServices(time.Now())) }},
 	}
 	for name, g := range gauges {
 		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: g.help}, g.read))
--- a/internal/edge/patience.go
+++ b/internal/edge/patience.go
@@ -29,7 +29,7 @@
 		return false
 	}
 	current := x.versionReason
-	pick, _ := x.pick(x.pickedModel, exclude)
+	pick, _ := x.pickNow(x.pickedModel, exclude, false)
 	next := &reservation{pick: pick, model: x.pickedModel, versionReason: x.versionReason}
 	x.versionReason = current
 	if pick == nil {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -19,6 +19,7 @@
 		Departures:      s.fleet.RecentDepartures,
 		Unreachable:     s.forwarder.reportedServices,
 		Stopping:        func() bool { return s.stop.Load() != nil },
+		Brittle:         s.fleet.BrittleReports,
 		OnMessage:       s.applyMessage,
 		OnMembership:    s.setVMs,
 		IncarnationName: incarnationName,
@@ -43,6 +44,7 @@
 	if len(m.Suspects) == 0 {
 		s.fleet.SetRemoteLoads(now, m.From.Name, m.Loads)
 	}
+	s.mergeBrittle(now, m.From.Name, m.Brittle)
 	for _, d := range m.Departures {
 		if s.fleet.RecordLeaving(now, d, false) {
 			klog.InfoS("fleet: another VM reported that the upstream is leaving", "upstream", d.Upstream, "born", d.Incarnation, "from", m.From.Name)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -97,12 +97,13 @@
 	return x.sendAttempt(pick, model, headTimeout(pick)), ""
 }
 
-// pick chooses an upstream for the next attempt, without those to exclude.
-func (x *requestState) pick(model string, exclude []string) (*fleet.Pick, fleet.Reason) {
+// pickNow chooses an upstream for the next attempt, without those to exclude, and without
+// waiting for room.
+func (x *requestState) pickNow(model string, exclude []string, waiting bool) (*fleet.Pick, fleet.Reason) {
 	now := time.Now()
 	rule := x.proxy.versionRule(now, x.req)
 	q := x.query(model)
-	q.Exclude = exclude
+	q.Exclude, q.Waiting = exclude, waiting
 	q.AllowVersion, q.VersionShare = rule.Preferred, rule.PreferredShare
 	x.versionReason = rule.Reason
 	pick, reason := x.proxy.fleet.Pick(now, q)
@@ -179,6 +180,7 @@
 	}
 	now := time.Now()
 	x.proxy.fleet.Done(now, a.pick, upstreamOutcome)
+	x.proxy.rooms.requestEnded(x.req.Service.Name)
 	// Only a response of the upstream itself says anything about its version.
 	late := a.late(now)
 	conclusive := late || upstreamOutcome == fleet.OutcomeSuccess || (upstreamOutcome == fleet.OutcomeFailed && a.attemptStatus == exchange.Answered)
@@ -228,7 +230,9 @@
 	if x.sendFallback() {
 		return
 	}
-	x.recordUnserved()
+	if reason != fleet.AllFull { // that the upstreams have no room says that they are reachable
+		x.recordUnserved()
+	}
 	if x.runs > 0 {
 		x.respondError(result.New(result.UpstreamFailed, "no other upstream can accept the request").WithRun(result.Unknown), string(reason))
 		return
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -25,9 +25,10 @@
 	// outcomes, so that an upstream receives requests again and can show that it
 	// has recovered.
 	failureHalfLife = 3 * time.Second
-	// minBackoff and MaxBackoff bound the backoff after a failed connection. A sound
-	// upstream that was silent for a moment is out of use for MaxBackoff at most.
+	// minBackoff is the shortest backoff after a failed connection.
 	minBackoff = 400 * time.Millisecond
+	// MaxBackoff is the longest backoff after a failed connection: a sound upstream that
+	// was silent for a moment is out of use for as long at most.
 	MaxBackoff = time.Second
 	// latencyWeight is the weight of the newest sample in the average latency.
 	latencyWeight = 0.2
@@ -77,6 +78,7 @@
 
 	sentAt        []time.Time // this VM's requests in the cold window
 	coldShare     coldShare
+	room          upstreamRoom
 	cachedPrompts *lru.Cache[uint64, time.Time]
 }
 
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -62,6 +62,7 @@
 	Unreachable func() []string
 	// Stopping reports whether this VM is about to stop.
 	Stopping func() bool
+	Brittle  func(now time.Time) []fleet.BrittleReport
 	// Digest returns the digest of this VM's copy of the store; nil before the copy
 	// was first confirmed.
 	Digest func(now time.Time) *relay.Digest
@@ -221,6 +222,7 @@
 	m := Message{
 		From: s.self, Loads: loads, ConfigVersion: s.callbacks.ConfigVersion(), Digest: s.callbacks.Digest(now),
 		Departures: s.callbacks.Departures(now), Unreachable: s.callbacks.Unreachable(), Stopping: s.callbacks.Stopping(),
+		Brittle: s.callbacks.Brittle(now),
 	}
 	if age, ok := s.callbacks.StoreTrouble(now); ok {
 		m.StoreTroubleMS = max(age.Milliseconds(), 1)
@@ -257,8 +259,8 @@
 }
 
 // encode encodes a message. While the datagram is too long, it halves the departures,
-// then the suspects, the relayed counters of roll-outs, the members and
-// the loads; a later datagram can carry the dropped entries. If the datagram is
+// then the suspects, the relayed counters of roll-outs, the members,
+// the loads and the brittle services; a later datagram can carry the dropped entries. If the datagram is
 // still too long without them, it is returned as it is.
 func encode(m Message) []byte {
 	for {
@@ -279,6 +281,8 @@
 			m.Members = m.Members[:len(m.Members)/2]
 		case len(m.Loads) > 0:
 			m.Loads = m.Loads[:len(m.Loads)/2]
+		case len(m.Brittle) > 0:
+			m.Brittle = m.Brittle[:len(m.Brittle)/2]
 		default:
 			return raw
 		}
