fleet: A trial does not wait for an unreachable upstream of its share

While a share of a version's upstreams is used and none of it was reachable, a first attempt was sent to an unreachable one, though others of the version were reachable. The pick now finds none in the share, and the caller asks for any upstream of the version.

Without the change TestUnreachableUpstreamOfTheShareIsNotTried fails: expected "all_down", actual "" (a pick).

--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -209,7 +209,8 @@
 
 // eligible returns the upstreams that may receive the request. Recently unreachable
 // upstreams are used only for a first attempt and only if no other upstream is
-// allowed. One that is merely at its cold limit counts as allowed.
+// allowed. One that is merely at its cold limit, or outside of the version's share,
+// counts as allowed.
 func (f *Fleet) eligible(now time.Time, q Query, list []*member) ([]*member, Reason) {
 	reachable, unreached := f.reachableBuf[:0], f.unreachableBuf[:0]
 	defer func() { f.reachableBuf, f.unreachableBuf = reachable[:0], unreached[:0] }() // the lists are used under the lock only
@@ -230,7 +231,7 @@
 	switch {
 	case len(reachable) > 0:
 		return reachable, Picked
-	case len(unreached) > 0 && q.FirstAttempt && !seen[coldLimited]:
+	case len(unreached) > 0 && q.FirstAttempt && q.VersionShare == 0 && !seen[coldLimited]:
 		unreached = slices.DeleteFunc(unreached, func(m *member) bool { return f.coldLimitReached(now, m) })
 		if len(unreached) == 0 {
 			return nil, ColdLimitReached
--- a/internal/fleet/pool_test.go
+++ b/internal/fleet/pool_test.go
@@ -26,3 +26,17 @@
 		assert.Len(t, chosen, tt.want, "share %v", tt.share)
 	}
 }
+
+// Guards against requests of a trial that wait for an unreachable upstream while others
+// of its version are reachable.
+func TestUnreachableUpstreamOfTheShareIsNotTried(t *testing.T) {
+	f := newFleet("vm-1", 9)
+	q := query()
+	q.VersionShare = 0.07
+	p := mustPick(t, f, begin, q)
+	f.Done(begin, p, OutcomeUnreachable)
+	_, reason := f.Pick(begin, q)
+	assert.Equal(t, NoneReachable, reason)
+	q.VersionShare = 0
+	assert.NotEqual(t, p.ID, mustPick(t, f, begin, q).ID)
+}
