edge: TestWithdrawnZoneAcrossEras lists its upstream in its zone from the start

Traced by the log: the test wrote the upstream's entry twice, first in zone a, then in zone b, with the same sequence number, which an upstream never does. The VM got the first one; the second waited for the batch delay, and then came only with the list of the new era, where an entry whose sequence number is not higher counts as older. So the upstream stayed in zone a, which is not withdrawn.

The entry is now written once, with zone b.

--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -151,7 +151,7 @@
 // withdrawal, and be restored when operators end the withdrawal.
 func TestWithdrawnZoneAcrossEras(t *testing.T) {
 	s := newStandardSite(t)
-	s.startReplica("o9", orders)
+	s.listenReplica("o9")
 	s.putEntry("o9", orders, s.addresses["o9"], map[string]any{"zone": "b"})
 	old := s.store.Copy()
 	s.requireRequests("o9")
