edge: An attempt is canceled only once its successor is connected

Callers of safe requests got 502 after 0.4 to 0.8 s, where their upstream would have answered after 1.2 s: the attempt that waited was canceled as soon as another upstream was picked, and then none of the others could be connected to.

Change: when the timeout has passed, the VM connects to the next upstream, beside the attempt that waits; only then it takes the retry from the budget, cancels the attempt and sends the next one on that connection. A failed connection counts as one, and the attempt goes on.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -75,7 +75,7 @@
 		Request: x.req, Upstream: pick.ID, Address: pick.Address, Model: model,
 		ResumeAfter: x.resumeAfter, Deadline: x.req.Deadline,
 	}
-	req, err := x.proxy.protocol.NewRequest(a.ctx, details)
+	req, err := x.proxy.protocol.NewRequest(x.withConn(a.ctx), details)
 	if err != nil {
 		a.attemptStatus, a.err = exchange.NotSent, err
 		return a
--- a/internal/edge/patience.go
+++ b/internal/edge/patience.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net"
 	"sync"
 	"time"
 
@@ -19,30 +20,50 @@
 	pick          *fleet.Pick
 	model         string
 	versionReason string
+	conn          net.Conn // to the upstream; nil if it is not established yet
 }
 
-// reserve makes the next attempt ready, if that is possible now. It takes a retry
-// from the budget if takeRetry is true.
-func (x *requestState) reserve(exclude []string, takeRetry bool) bool {
-	now, service, budget := time.Now(), x.req.Service.Name, x.proxy.budget
-	if x.isContentBlocked() || x.proxy.forwarder.unreachable(service) || takeRetry && budget.Remaining(now, service) < 1 {
-		return false
+// prepare picks the upstream of the next attempt, or returns nil if there is none now.
+func (x *requestState) prepare(exclude []string) *reservation {
+	if x.isContentBlocked() || x.proxy.forwarder.unreachable(x.req.Service.Name) {
+		return nil
 	}
 	current := x.versionReason
 	pick, _ := x.pickNow(x.pickedModel, exclude, false)
 	next := &reservation{pick: pick, model: x.pickedModel, versionReason: x.versionReason}
 	x.versionReason = current
 	if pick == nil {
+		return nil
+	}
+	return next
+}
+
+// reserve makes the next attempt ready, if that is possible now. It takes a retry
+// from the budget if takeRetry is true.
+func (x *requestState) reserve(exclude []string, takeRetry bool) bool {
+	if takeRetry && x.proxy.budget.Remaining(time.Now(), x.req.Service.Name) < 1 {
 		return false
 	}
-	if takeRetry && !budget.TryRetry(now, service) {
-		x.proxy.fleet.Done(now, pick, fleet.OutcomeNeutral)
+	next := x.prepare(exclude)
+	if next == nil {
+		return false
+	}
+	if takeRetry && !x.proxy.budget.TryRetry(time.Now(), x.req.Service.Name) {
+		x.release(next, fleet.OutcomeNeutral)
 		return false
 	}
 	x.reserved = next
 	return true
 }
 
+// release gives back a reservation that is not used.
+func (x *requestState) release(r *reservation, outcome fleet.Outcome) {
+	x.proxy.fleet.Done(time.Now(), r.pick, outcome)
+	if r.conn != nil {
+		_ = r.conn.Close() // nothing was sent on it
+	}
+}
+
 // mayForward reports whether the request may be forwarded to another VM now. If so, it
 // takes a retry from the budget if takeRetry is true.
 func (x *requestState) mayForward(takeRetry bool) bool {
@@ -53,7 +74,7 @@
 // dropReservation gives back a reservation that is not used. Its retry stays counted.
 func (x *requestState) dropReservation() {
 	if x.reserved != nil {
-		x.proxy.fleet.Done(time.Now(), x.reserved.pick, fleet.OutcomeNeutral)
+		x.release(x.reserved, fleet.OutcomeNeutral)
 		x.reserved = nil
 	}
 }
@@ -62,7 +83,7 @@
 // this model, or one that is picked now.
 func (x *requestState) nextPick(model string) (*fleet.Pick, fleet.Reason) {
 	if r := x.reserved; r != nil && r.model == model {
-		x.reserved, x.versionReason = nil, r.versionReason
+		x.reserved, x.versionReason, x.conn = nil, r.versionReason, r.conn
 		return r.pick, fleet.Picked
 	}
 	x.dropReservation()
@@ -77,9 +98,9 @@
 }
 
 // patience limits how long an attempt waits for its upstream. When the timeout has
-// passed, it cancels the attempt as soon as the next one is reserved. Until then the
-// attempt goes on: its upstream may be silent for a moment only, and nothing would
-// take its place.
+// passed, it cancels the attempt as soon as the next one is reserved and connected.
+// Until then the attempt goes on: its upstream may be silent for a moment only, and
+// nothing would take its place.
 type patience struct {
 	attempt *attempt
 	cause   error
@@ -119,29 +140,85 @@
 }
 
 func (p *patience) expire() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.stopped {
+	next := p.prepareNext()
+	if next == nil {
 		return
 	}
-	if left := time.Until(p.expiresAt); left > 0 {
-		p.timer.Reset(left) // the timeout was extended meanwhile
+	x := p.attempt.state
+	conn, err := x.proxy.dialUpstream(p.attempt.ctx, "tcp", next.pick.Address)
+	if err != nil && p.attempt.ctx.Err() == nil {
+		x.proxy.recordDialFailure(next.pick, x.req.Service.Name)
+		x.release(next, fleet.OutcomeUnreachable)
+		p.retryLater()
 		return
 	}
-	if !p.attempt.reserveNext() {
+	next.conn = conn
+	p.replaceBy(next)
+}
+
+// prepareNext prepares the next attempt, or starts the timeout anew if there is none or
+// the timeout was extended.
+func (p *patience) prepareNext() *reservation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped || p.restart() {
+		return nil
+	}
+	x := p.attempt.state
+	if !p.attempt.mayBeRetried() || x.proxy.budget.Remaining(time.Now(), x.req.Service.Name) < 1 {
+		p.timer.Reset(retryCheckInterval)
+		return nil
+	}
+	next := x.prepare(x.tried)
+	if next == nil {
+		p.timer.Reset(retryCheckInterval)
+	}
+	return next
+}
+
+// replaceBy cancels the attempt in favor of the next one, which is connected, unless the
+// attempt has gone on meanwhile.
+func (p *patience) replaceBy(next *reservation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x := p.attempt.state
+	switch {
+	case p.stopped || next.conn == nil || p.restart():
+		x.release(next, fleet.OutcomeNeutral)
+	case !x.proxy.budget.TryRetry(time.Now(), x.req.Service.Name):
+		x.release(next, fleet.OutcomeNeutral)
+		p.timer.Reset(retryCheckInterval)
+	default:
+		x.reserved = next
+		p.stopped = true
+		p.attempt.cancel(p.cause)
+	}
+}
+
+// restart starts the timeout anew if it was extended, and reports whether it was.
+func (p *patience) restart() bool {
+	left := time.Until(p.expiresAt)
+	if left > 0 {
+		p.timer.Reset(left)
+	}
+	return left > 0
+}
+
+func (p *patience) retryLater() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.stopped {
 		p.timer.Reset(retryCheckInterval)
-		return
 	}
-	p.stopped = true
-	p.attempt.cancel(p.cause)
 }
 
-// reserveNext reserves the next attempt as if this one had failed now.
-func (a *attempt) reserveNext() bool {
+// mayBeRetried reports whether the request might be sent again if the attempt failed
+// now.
+func (a *attempt) mayBeRetried() bool {
 	x := a.state
 	d := retry.Decide(retry.Facts{
 		Idempotent: x.req.Route.RetryPolicy == routing.Idempotent, Runs: x.runs + 1, MaxRuns: x.req.Route.MaxRuns, Attempts: len(x.tried),
 		TimeLeft: time.Until(x.req.Deadline), CallerCanceled: x.ctx.Err() != nil,
 	})
-	return d == retry.Again && x.reserve(x.tried, true)
+	return d == retry.Again
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -53,6 +54,9 @@
 	// of the latest pick.
 	reserved    *reservation
 	pickedModel string
+	// conn is a connection to the upstream of the next attempt; nil if it is not
+	// established yet.
+	conn net.Conn
 
 	tried         []string // upstreams and VMs of all attempts, including unreachable ones
 	sends         int      // attempts whose request may have reached an upstream
--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -99,3 +99,30 @@
 	}
 	assert.Equal(t, 404, s.do(chat("c")).status, "the change is in force")
 }
+
+// Guards against an attempt that is given up for upstreams to which no connection can be
+// established, while its own connection lives on and its upstream only pauses.
+func TestPausedAttemptIsGivenUpForUnreachableUpstreams(t *testing.T) {
+	for name, d := range map[string]*cutDialer{"refused": {}, "silent": {silent: true}} {
+		for _, n := range []int{1, 3} {
+			t.Run(fmt.Sprintf("%s, %d upstreams", name, n), func(t *testing.T) {
+				s := newSite(t)
+				s.cutFirst(d)
+				s.configure(routes(), key)
+				for i := range n {
+					s.startReplica(fmt.Sprintf("o%d", i), orders)
+				}
+				s.startVM("vm-1")
+				d.cut.Store(false)
+				s.setFaults("o", platformside.ReplicaFaults{Delay: silence})
+				result := make(chan callResult, 1)
+				go func() { result <- s.do(call{id: "a", path: "/look/x", key: key}) }()
+				require.Eventually(t, func() bool { return len(s.runs("a")) == 1 }, waitTimeout, time.Millisecond)
+				d.cut.Store(true)
+				g := <-result
+				require.NoError(t, g.err)
+				assert.Equal(t, 200, g.status)
+			})
+		}
+	}
+}
--- a/internal/edge/transport.go
+++ b/internal/edge/transport.go
@@ -93,12 +93,36 @@
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// connKey is the context key of a request's connection that is established already.
+type connKey struct{}
+
+// withConn adds the connection of the next attempt to its context, if there is one.
+func (x *requestState) withConn(ctx context.Context) context.Context {
+	conn := x.conn
+	x.conn = nil
+	if conn == nil {
+		return ctx
+	}
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// dialUnlessConnected returns a function that uses the connection of the context, if
+// there is one, and opens one otherwise.
+func dialUnlessConnected(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if conn, ok := ctx.Value(connKey{}).(net.Conn); ok {
+			return conn, nil
+		}
+		return dial(ctx, network, address)
+	}
+}
+
 // newUpstreamTransport returns a transport that opens a connection for each
 // attempt. A connection that is never reused can't be stale and can't carry the
 // late response to another request, and net/http never resends a request on it.
 func newUpstreamTransport(dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:        dial,
+		DialContext:        dialUnlessConnected(dial),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 		WriteBufferSize:    4 << 10,
