poison: Log which content is blocked, and how long broken runs were under way

Nothing told which content a VM took for the cause, nor from which runs.

The core keeps the changes of its judgement, the edge logs them; broken runs are logged with the time and the events since their response began. No change of logic.

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -31,9 +31,21 @@
 	defer s.mu.Unlock()
 	var blocked bool
 	x.blockedFor, blocked = s.poison.Blocked(now, x.req.ContentKeys)
+	logVerdicts(s.poison.Verdicts())
 	return blocked
 }
 
+// logVerdicts logs which content is blocked from now on, and which no longer is.
+func logVerdicts(verdicts []poison.Verdict) {
+	for _, v := range verdicts {
+		message := "poison: content is no longer blocked"
+		if v.Blocked {
+			message = "poison: content is blocked"
+		}
+		klog.InfoS(message, "key", v.Key, "crashes", v.Crashes, "cleared", v.Cleared, "sequence", v.Sequence)
+	}
+}
+
 // contentBlockedError returns the response to a request that isContentBlocked.
 func (x *requestState) contentBlockedError() *result.Error {
 	klog.InfoS("poison: the request is not sent because upstreams crashed on its content", "request", x.req.ID,
@@ -77,7 +89,7 @@
 // and checks whether it has crashed.
 func (s *Proxy) recordDisconnect(now time.Time, a *attempt, run poison.Run) {
 	klog.InfoS("poison: an upstream broke the connection under a request", "request", a.state.req.ID, "upstream", run.Upstream,
-		"born", run.Incarnation, "keys", run.Keys, "parts", sharedPartIDs(a.state.req), "answered", a.head != nil)
+		"born", run.Incarnation, "keys", run.Keys, "parts", sharedPartIDs(a.state.req), "answered", a.head != nil, "ran", now.Sub(run.BeganAt).Milliseconds(), "events", a.pace.events)
 	s.mu.Lock()
 	check := s.poison.Broken(now, run)
 	s.mu.Unlock()
--- a/internal/poison/judge.go
+++ b/internal/poison/judge.go
@@ -15,9 +15,14 @@
 	c.stale = false
 	c.expire(now)
 	explained := make(map[crashID]bool)
-	for _, s := range c.suspects {
+	wasBlocked := make(map[Key]bool)
+	for k, s := range c.suspects {
+		if s.blocked {
+			wasBlocked[k] = true
+		}
 		s.blocked, s.count = false, s.sequence(nil)
 	}
+	defer c.recordVerdicts(wasBlocked)
 	for {
 		k, s := c.worst(explained)
 		if s == nil {
@@ -152,3 +157,30 @@
 	}
 	delete(c.suspects, victim)
 }
+
+// Verdict is a change of whether some content is blocked.
+type Verdict struct {
+	Key     Key
+	Blocked bool
+	// Crashes is the number of crashes that are known, Cleared the number of them that
+	// do not count, and Sequence the number that came one after the other.
+	Crashes, Cleared, Sequence int
+}
+
+// recordVerdicts keeps the changes of the last judgement for Verdicts.
+func (c *Core) recordVerdicts(wasBlocked map[Key]bool) {
+	for k, s := range c.suspects {
+		if s.blocked != wasBlocked[k] && len(c.verdicts) < maxSuspects {
+			c.verdicts = append(c.verdicts, Verdict{
+				Key: k, Blocked: s.blocked, Crashes: len(s.marks), Cleared: len(s.marks) - s.unexplained(nil), Sequence: s.count,
+			})
+		}
+	}
+}
+
+// Verdicts returns the changes since the last call.
+func (c *Core) Verdicts() []Verdict {
+	out := c.verdicts
+	c.verdicts = nil
+	return out
+}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -125,6 +125,7 @@
 	// contactAt is when the last connection on which an incarnation responded was begun.
 	contactAt *simplelru.LRU[crashID, time.Time]
 	stale     bool // the judgement is older than the marks
+	verdicts  []Verdict
 }
 
 // New returns a core that suspects nothing. The name of the VM makes the VMs end
