edge: Failing tests, crashes in a row are taken for the loss of a VM's links

What callers saw: a request went on crashing upstreams after it had crashed three. Two upstreams that refuse connections with no contact in between make a VM take its own links for lost, and then no crash counts there: with attempts that follow each other at once that is the second crash of each request; with all upstreams down it is all.

Stand-in: DeadlyBody crashes before the response.

--- /dev/null
+++ b/internal/edge/crashstorm_test.go
@@ -0,0 +1,41 @@
+package edge_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cranberrypier/cranberrypier/internal/fake/platformside"
+)
+
+// Guards against a request that goes on crashing upstreams, because two of them that
+// refuse connections look to a VM like the loss of its own links.
+func TestCrashesInARowAreTakenForLostLinks(t *testing.T) {
+	for _, vms := range []int{1, 3} {
+		t.Run(fmt.Sprint(vms, "VMs"), func(t *testing.T) {
+			c := newCrashingFleet(t, 9, vms, platformside.ReplicaFaults{DeadlyBody: "deadly"})
+			for i := range 12 {
+				r := chat(fmt.Sprint("deadly-", i))
+				r.body, r.deadline = "deadly", 2*time.Second
+				c.doAt(c.vms[i%vms], r)
+				time.Sleep(300 * time.Millisecond) // the VMs hear of each other's crashes
+			}
+			assert.Equal(t, 3, c.crashCount(), "one request after the other crashes no more than it takes to block them")
+		})
+	}
+}
+
+// Guards against a request that goes on crashing upstreams, because no crash counts
+// while all of them are down.
+func TestLossOfAllUpstreamsHidesCrashes(t *testing.T) {
+	c := newCrashingFleet(t, 2, 2, platformside.ReplicaFaults{DeadlyBody: "deadly"})
+	for i := range 10 {
+		r := chat(fmt.Sprint("deadly-", i))
+		r.body, r.deadline = "deadly", 2*time.Second
+		c.doAt(c.vms[i%2], r)
+		time.Sleep(400 * time.Millisecond)
+	}
+	assert.LessOrEqual(t, c.crashCount(), 4, "three, or two pairs lost together")
+}
--- a/internal/fake/platformside/replica.go
+++ b/internal/fake/platformside/replica.go
@@ -46,6 +46,9 @@
 	// DeadlyPart is a shared part of a prompt on which the replica crashes after the
 	// first event of its response; empty for none.
 	DeadlyPart string
+	// DeadlyBody is a request body on which the replica crashes before it responds;
+	// empty for none.
+	DeadlyBody string
 	// Pause is the time for which a stream pauses after the second event of the
 	// response.
 	Pause time.Duration
@@ -81,8 +84,8 @@
 	EventInterval time.Duration
 	// ProcessingTime is the processing time of a request that is not a stream.
 	ProcessingTime time.Duration
-	// Crash is called when the replica crashes on a deadly part, and, if it is set,
-	// before LoseAnswer resets the connection.
+	// Crash is called when the replica crashes on a deadly part or body, and, if it is
+	// set, before LoseAnswer resets the connection.
 	Crash func()
 	// Confidence is the reported confidence, 0 to 100, by model; a model that is
 	// not listed reports 100.
@@ -203,6 +206,11 @@
 
 func (p *Replica) respond(w http.ResponseWriter, r *http.Request, run *Run, f ReplicaFaults) {
 	switch {
+	case f.DeadlyBody != "" && run.Body == f.DeadlyBody:
+		time.Sleep(p.ProcessingTime)
+		p.Crash()
+		resetConn(w)
+		return
 	case f.LoseAnswer:
 		time.Sleep(p.ProcessingTime)
 		if p.Crash != nil {
