edge: Crashes count although a VM seems to have lost its links

Cause: two upstreams that refuse connections with no contact in between make the VM take its own links for lost, and each crash seen by then was dropped for good. Class: evidence that can't be judged yet is thrown away in place of kept.

Change: such a crash stays undecided for as long as the core keeps its runs. It is decided once an upstream of the service accepts a connection, by dialing again (accepted: alive; refused: crashed), or once no other VM reaches the service either. A probe round goes on to the next upstream while they refuse at once, so that a single one that is left is found. A VM whose links are lost still blocks nothing: others reach the service.

All of internal/edge passes.

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -127,13 +127,22 @@
 }
 
 // confirmCrash records that the upstream of an attempt refuses connections. While this
-// VM reaches no upstream of the service, its own link is the likelier reason.
+// VM reaches no upstream of the service, its own link may be the reason; the crash is
+// then decided later.
 func (s *Proxy) confirmCrash(now time.Time, a *attempt) {
-	upstream, incarnation := a.pick.ID, a.pick.Incarnation
 	if s.forwarder.unreachable(a.state.req.Service.Name) {
-		klog.InfoS("poison: a refused connection shows no crash, because no upstream of the service is reachable", "upstream", upstream, "born", incarnation)
+		if s.undecided.add(now, a) {
+			klog.InfoS("poison: a refused connection may be due to this VM's link; it is decided later", "upstream", a.pick.ID, "born", a.pick.Incarnation)
+		}
 		return
 	}
+	s.countCrash(now, a)
+}
+
+// countCrash counts the crash of an attempt's upstream against the content that was
+// running there.
+func (s *Proxy) countCrash(now time.Time, a *attempt) {
+	upstream, incarnation := a.pick.ID, a.pick.Incarnation
 	s.mu.Lock()
 	runs := s.poison.Confirm(now, upstream, incarnation)
 	s.mu.Unlock()
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -89,6 +89,7 @@
 	defer f.mu.Unlock()
 	if f.reach.Contact(service, begunAt) {
 		klog.InfoS("reach: an upstream of the service is reachable again", "service", service)
+		go s.decideByDialing(service)
 	}
 }
 
@@ -127,6 +128,13 @@
 	f.core.Retain(known)
 }
 
+// reachedElsewhere reports whether another VM may reach a service.
+func (f *forwarder) reachedElsewhere(now time.Time, service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.core.ReachedElsewhere(now, service)
+}
+
 // retainServices forgets the services that the configuration no longer has.
 func (f *forwarder) retainServices(has func(name string) bool) {
 	f.mu.Lock()
@@ -293,9 +301,9 @@
 	return "answered"
 }
 
-// probeUnreachable connects to a few random upstreams of each unreachable service in
-// each interval, and at once when a service becomes unreachable, until ctx ends. When the requests are forwarded, only a probe can
-// detect that upstreams are reachable again.
+// probeUnreachable connects to random upstreams of each unreachable service in each
+// interval, and at once when a service becomes unreachable, until ctx ends. While its
+// requests are forwarded, only a probe can detect that upstreams are reachable again.
 func (s *Proxy) probeUnreachable(ctx context.Context) {
 	tick := time.NewTicker(probeInterval)
 	defer tick.Stop()
@@ -312,18 +320,26 @@
 			services = []string{anyService}
 		}
 		for _, service := range services {
-			wait.Go(func() { s.probe(ctx, service) })
+			wait.Go(func() {
+				s.probe(ctx, service)
+				s.decideByPeers(service)
+			})
 		}
 		wait.Wait()
 	}
 }
 
-// probe connects to a few random upstreams of a service, or of anyService.
+// probe connects to random upstreams of a service, or of anyService, one after the other
+// until one accepts. Many can be tried in a round if they refuse at once.
 func (s *Proxy) probe(ctx context.Context, service string) {
 	addresses := s.fleet.UsableAddresses(time.Now(), service)
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	endAt := time.Now().Add(maxProbeRoundTime)
 	for _, address := range addresses[:min(maxProbesPerRound, len(addresses))] {
 		begunAt := time.Now()
+		if begunAt.After(endAt) {
+			return
+		}
 		conn, err := s.dialUpstream(ctx, "tcp", address)
 		if err != nil {
 			continue // still unreachable
--- a/internal/edge/isolation.go
+++ b/internal/edge/isolation.go
@@ -17,8 +17,10 @@
 	// probeInterval is the interval between probe rounds while a service is
 	// unreachable.
 	probeInterval = 500 * time.Millisecond
-	// maxProbesPerRound limits how many upstreams of a service one probe round tries.
-	maxProbesPerRound = 2
+	// maxProbesPerRound limits how many upstreams of a service one probe round tries, and
+	// maxProbeRoundTime how long it goes on to the next.
+	maxProbesPerRound = 16
+	maxProbeRoundTime = upstreamDialTimeout
 )
 
 // isolation detects that this VM can reach no upstream at all: its zone is
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -45,6 +45,7 @@
 	isolation    isolation
 	forwarder    *forwarder
 	rooms        *roomQueue
+	undecided    undecidedCrashes
 
 	mu     sync.Mutex // guards canary, poison and gains
 	canary *canary.Core
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -271,6 +271,13 @@
 	return len(f.vms)
 }
 
+// Has reports whether a picked upstream is still listed, and has not started again.
+func (f *Fleet) Has(p *Pick) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.memberOf(p) != nil
+}
+
 // Len returns the number of upstreams.
 func (f *Fleet) Len() int {
 	f.mu.Lock()
--- a/internal/forwarding/forwarding.go
+++ b/internal/forwarding/forwarding.go
@@ -79,6 +79,16 @@
 	p.Report, p.heardAt = r, now
 }
 
+// ReachedElsewhere reports whether a VM that was heard lately may reach a service.
+func (c *Core) ReachedElsewhere(now time.Time, service string) bool {
+	for _, p := range c.peers {
+		if now.Sub(p.heardAt) <= maxReportAge && !slices.Contains(p.Unreachable, service) {
+			return true
+		}
+	}
+	return false
+}
+
 // Retain forgets the VMs that are not listed and run none of this VM's requests.
 func (c *Core) Retain(known []string) {
 	for name, p := range c.peers {
--- a/internal/forwarding/forwarding_test.go
+++ b/internal/forwarding/forwarding_test.go
@@ -138,3 +138,14 @@
 	assert.True(t, r.Exhausted("x"))
 	assert.False(t, r.Exhausted("z"), "nothing failed")
 }
+
+func TestReachedElsewhere(t *testing.T) {
+	now := time.Now()
+	c := New("a", nil)
+	assert.False(t, c.ReachedElsewhere(now, "s"), "no other VM is known")
+	c.Record(now, Report{VM: VM{Name: "vm-2"}, Unreachable: []string{"s"}})
+	assert.False(t, c.ReachedElsewhere(now, "s"))
+	c.Record(now, Report{VM: VM{Name: "vm-3"}, Unreachable: []string{"other"}})
+	assert.True(t, c.ReachedElsewhere(now, "s"))
+	assert.False(t, c.ReachedElsewhere(now.Add(maxReportAge+time.Second), "s"), "the reports are too old")
+}
