edge: Other VMs decide on a crash only while this one reaches no upstream

A probe that succeeded and the decision by the other VMs' reports ran in the same round, so that the latter could be taken although dialing again gives the better answer.

--- a/internal/edge/undecided.go
+++ b/internal/edge/undecided.go
@@ -82,8 +82,7 @@
 // decideByPeers decides the crashes of a service that no other VM reaches either: it is
 // not this VM's link.
 func (s *Proxy) decideByPeers(service string) {
-	now := time.Now()
-	if s.forwarder.reachedElsewhere(now, service) {
+	if !s.forwarder.unreachable(service) || s.forwarder.reachedElsewhere(time.Now(), service) {
 		return
 	}
 	for _, c := range s.undecided.take(service) {
