edge: A stream that goes on clears its content

Cause: content is cleared only by a request that completes. Where one upstream after the other crashes, few do, and all that runs at a crash is marked alike. Harmful content ends its upstream when it begins to run: of the marked runs with the deadly part none had a whole event.

Change: a stream clears its content once three events have followed the first ones, and a run that got so far is not marked.

Not detected any more: content that crashes an upstream only after some events.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -53,6 +53,8 @@
 	// pace is that of the events of a stream.
 	pace         pace
 	paceRecorded bool
+	// survivalRecorded is true once recordSurvival has had an effect.
+	survivalRecorded bool
 	// bodyRead is true once the body has been read to its end.
 	bodyRead bool
 	// leftover is the number of bytes after the last complete event at the end of
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -59,6 +59,9 @@
 	run := poison.Run{
 		Upstream: a.pick.ID, Incarnation: a.pick.Incarnation, Keys: a.state.req.ContentKeys, BeganAt: a.startedAt.Add(a.timeToHead), EndedAt: now,
 	}
+	if a.survived() && !a.completed() {
+		run.Keys = nil // a crash has another reason
+	}
 	switch {
 	case a.disconnected:
 		s.recordDisconnect(now, a, run)
@@ -85,6 +88,25 @@
 	return a.bodyRead && a.framing != framedByClose && a.err == nil && a.head.Status == http.StatusOK && (a.pace.events > 0 || !a.state.req.Route.Stream)
 }
 
+// minSurvivedEvents is the number of a stream's events after the first ones that show that
+// its content crashes no upstream: harmful content does so when it begins to run.
+const minSurvivedEvents = 3
+
+func (a *attempt) survived() bool { return a.pace.eventsAfterFirst >= minSurvivedEvents }
+
+// recordSurvival records once that an upstream goes on with a stream. Where one upstream
+// after the other crashes, few requests complete.
+func (a *attempt) recordSurvival(now time.Time) {
+	if a.survivalRecorded || a.vm != "" || !a.survived() {
+		return
+	}
+	a.survivalRecorded = true
+	s := a.state.proxy
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.poison.Completed(now, a.state.req.ContentKeys)
+}
+
 // recordDisconnect records that an upstream broke the connection under a request,
 // and checks whether it has crashed.
 func (s *Proxy) recordDisconnect(now time.Time, a *attempt, run poison.Run) {
--- a/internal/edge/crashstorm_test.go
+++ b/internal/edge/crashstorm_test.go
@@ -39,3 +39,29 @@
 	}
 	assert.LessOrEqual(t, c.crashCount(), 4, "three, or two pairs lost together")
 }
+
+// Guards against sound content that is blocked, because its streams are cut short by
+// crashes that other requests cause.
+func TestStreamsThatCrashesCutAreTakenForTheirCause(t *testing.T) {
+	c := newCrashingFleet(t, 6, 1, platformside.ReplicaFaults{})
+	for _, p := range c.replicas {
+		p.Events, p.EventInterval = 400, 10*time.Millisecond
+	}
+	done := make(chan callResult, 1)
+	go func() {
+		r := c.prompt("long", "popular")
+		r.deadline = 8 * time.Second
+		done <- c.do(r)
+	}()
+	for range 3 {
+		time.Sleep(300 * time.Millisecond) // some events arrive
+		for _, run := range c.runs("long") {
+			c.replicas[run.Replica].Crash()
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	again := c.prompt("again", "popular")
+	again.body = "prompt of long"
+	assert.Equal(t, 200, c.do(again).status)
+	<-done // cut short: all of its attempts have run
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -186,6 +186,7 @@
 		if a.pace.record(time.Now(), events.count); a.vm == "" && a.pace.eventsAfterFirst >= pacedEvents {
 			a.recordPace(time.Now())
 		}
+		a.recordSurvival(time.Now())
 		if events.lastID != "" {
 			st.resumeAfter = events.lastID
 		}
