poison: A crash is not dated back to an earlier break

Content that crashes upstreams is not blocked where these also break connections for other reasons.

Cause: a connection that an upstream broke and that was not checked (checks are a second apart) stayed among the runs of its next crash, for up to 3 s. The crash was dated to the earliest of them, all runs since counted as caused by it, and a response between the two refuted the crash on all VMs, for good.

Change: a response to this VM removes the breaks before it; only runs that broke within 250 ms of the last one (or of the time that another VM tells) belong to the crash.

Evidence: TestCrashIsDatedBackToAnEarlierBreak failed before in the three assertions of both cases; the tests of internal/poison pass.

--- a/internal/poison/contact.go
+++ b/internal/poison/contact.go
@@ -18,6 +18,7 @@
 func (c *Core) Contact(now, begunAt time.Time, upstream string, incarnation int64) {
 	id := crashOf(upstream, incarnation)
 	c.contactAt.Add(id, begunAt)
+	c.runs.discard(id, begunAt)
 	for _, s := range c.suspects {
 		for i := range s.marks {
 			if m := &s.marks[i]; m.crash == id && !m.cleared && refutes(begunAt, m.crashedAt) {
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -169,11 +169,13 @@
 // that it broke shortly before were broken by a crash. It returns the number of runs
 // that were confirmed.
 func (c *Core) Confirm(now time.Time, upstream string, incarnation int64) int {
-	return c.confirm(now, crashOf(upstream, incarnation), now)
+	id := crashOf(upstream, incarnation)
+	return c.confirm(now, id, c.runs.lastBrokenAt(id, now))
 }
 
 func (c *Core) confirm(now time.Time, id crashID, crashedAt time.Time) int {
 	c.runs.expire(now)
+	c.runs.discard(id, crashedAt.Add(-maxBreakSpread))
 	runs := c.runs.take(id)
 	if len(runs) == 0 {
 		return 0
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -276,3 +276,29 @@
 	}
 	assert.True(t, blocked(c, 20_000, deadly))
 }
+
+// Guards against crashes that do not count, because they are dated back to a connection
+// that the upstream broke earlier, after which it went on responding.
+func TestCrashIsDatedBackToAnEarlierBreak(t *testing.T) {
+	for name, other := range map[string]bool{"responded to this VM": false, "responded to another VM": true} {
+		t.Run(name, func(t *testing.T) {
+			c, sees := New("vm"), New("vm-2")
+			for i := range minCrashes {
+				ms, u := 5000*i, fmt.Sprint(i)
+				c.Broken(at(ms), Run{Upstream: u, Incarnation: 1, Keys: []Key{sound}, BeganAt: at(ms - 10), EndedAt: at(ms)})
+				if other {
+					sees.Contact(at(ms+400), at(ms+200), u, 1)
+				} else {
+					c.Contact(at(ms+400), at(ms+200), u, 1)
+				}
+				crash(c, ms+900, ms+880, u, []Key{deadly})
+				sees.Merge(at(ms+950), c.Share(at(ms+950)))
+				c.Merge(at(ms+990), sees.Share(at(ms+990)))
+			}
+			end := 5000 * minCrashes
+			assert.True(t, blocked(c, end, deadly))
+			assert.True(t, blocked(sees, end, deadly))
+			assert.False(t, blocked(c, end, sound))
+		})
+	}
+}
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -12,6 +12,8 @@
 	// maxCrashDelay is how long after a run was dropped the upstream's crash may
 	// still be due to it.
 	maxCrashDelay = time.Second
+	// maxBreakSpread is how far apart a crash breaks the connections of its upstream.
+	maxBreakSpread = 250 * time.Millisecond
 	// minCheckInterval is the minimum time between checks of one upstream.
 	minCheckInterval = time.Second
 	// maxUnconfirmedRuns limits the runs that are kept.
@@ -69,6 +71,21 @@
 	return taken
 }
 
+// lastBrokenAt returns when an incarnation last broke a connection under a run, or now if
+// it has not.
+func (u *unconfirmedRuns) lastBrokenAt(id crashID, now time.Time) time.Time {
+	last := time.Time{}
+	for _, r := range u.list {
+		if r.crash == id && !r.dropped && r.EndedAt.After(last) {
+			last = r.EndedAt
+		}
+	}
+	if last.IsZero() {
+		return now
+	}
+	return last
+}
+
 // discard removes the runs that an incarnation broke before a time.
 func (u *unconfirmedRuns) discard(id crashID, before time.Time) {
 	u.list = slices.DeleteFunc(u.list, func(r unconfirmedRun) bool {
