--- a/internal/fake/platformside/replica.go
+++ b/internal/fake/platformside/replica.go
@@ -49,6 +49,8 @@
 	// DeadlyBody is a request body on which the replica crashes before it responds;
 	// empty for none.
 	DeadlyBody string
+	// Limit is added to each response as Server-Limit; empty for none.
+	Limit string
 	// Pause is the time for which a stream pauses after the second event of the
 	// response.
 	Pause time.Duration
@@ -148,6 +150,9 @@
 	if f.Leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if f.Limit != "" {
+		w.Header().Set("Server-Limit", f.Limit)
+	}
 	if e := h.Get("X-Expected-Replica"); e != "" && e != p.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
