fleet, platform, edge: The limit that an upstream names is kept by all VMs together

Cause: the header was not read. Class: a bound that holds for all VMs together, of which each knows a part only. The limit is divided in advance, in turns by the time of day that go round the VMs, so that no message a request is needed; a VM that has no turn of an upstream passes it over, and where all upstreams are at their limits the request waits for at most 0.5 s and is then refused with the time of the next turn (all_limited). A limit is told to the other VMs with the load datagrams, changes at once, ends with an answer without one a second after the last with one, and survives a VM's restart in the others. A value that is no single positive number is logged (1111) and changes nothing.

Ruled out: a count over all VMs (seconds old at 300 VMs); a fixed share a VM (none of it for most, where there are more VMs than requests).

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -112,12 +112,13 @@
 }
 
 // recordNotices records what the upstream says of itself in any response, also if it
-// rejects the request: that it is brittle or leaving, or that it wants no requests for
-// some time. A misdirected response may be another upstream's; the picked one is then
+// rejects the request: that it is brittle or leaving, that it names a limit, or that it
+// wants no requests for some time. A misdirected response may be another upstream's; the picked one is then
 // no longer at its address.
 func (a *attempt) recordNotices() {
 	now := time.Now()
 	a.recordBrittle(now)
+	a.recordRateLimit(now)
 	if a.head.Leaving && a.state.proxy.fleet.RecordLeaving(now, fleet.Departure{Upstream: a.pick.ID, Incarnation: a.pick.Incarnation}, true) {
 		klog.InfoS("fleet: the upstream announced that it is leaving", "upstream", a.pick.ID, "born", a.pick.Incarnation, "request", a.state.req.ID)
 	}
--- a/internal/edge/brittle.go
+++ b/internal/edge/brittle.go
@@ -89,26 +89,37 @@
 	}
 }
 
-// pick chooses an upstream for the next attempt, without those to exclude. If the service is brittle and has no
-// room, the request waits for a short time.
+// pick chooses an upstream for the next attempt, without those to exclude. If the
+// upstreams are brittle and have no room, or are at their limits, the request waits for
+// a short time.
 func (x *requestState) pick(model string, exclude []string) (*fleet.Pick, fleet.Reason) {
 	pick, reason := x.pickNow(model, exclude, false)
-	if reason != fleet.AllFull {
+	if !hasNoRoom(reason) {
 		return pick, reason
 	}
-	if pick, reason = x.waitForRoom(model, exclude); pick != nil {
-		x.proxy.metrics.brittle.WithLabelValues(brittlePlaced).Inc()
+	counter, placed, refused := x.proxy.metrics.brittle, brittlePlaced, brittleRefused
+	if reason == fleet.AllLimited {
+		counter, placed, refused = x.proxy.metrics.limited, limitedPlaced, limitedRefused
+	}
+	if pick, reason = x.waitForRoom(model, exclude, reason); pick != nil {
+		counter.WithLabelValues(placed).Inc()
 	} else {
-		x.proxy.metrics.brittle.WithLabelValues(brittleRefused).Inc()
+		counter.WithLabelValues(refused).Inc()
 	}
 	return pick, reason
 }
 
-func (x *requestState) waitForRoom(model string, exclude []string) (*fleet.Pick, fleet.Reason) {
+// hasNoRoom reports whether upstreams may receive a request a short time later. They are
+// reachable.
+func hasNoRoom(reason fleet.Reason) bool {
+	return reason == fleet.AllFull || reason == fleet.AllLimited
+}
+
+func (x *requestState) waitForRoom(model string, exclude []string, reason fleet.Reason) (*fleet.Pick, fleet.Reason) {
 	service := x.req.Service.Name
 	q := x.proxy.rooms.enter(service)
 	if q == nil {
-		return nil, fleet.AllFull
+		return nil, reason
 	}
 	defer x.proxy.rooms.leave(service, q)
 	hold := min(maxHoldTime, time.Duration(maxHoldShare*float64(time.Until(x.req.Deadline))))
@@ -119,14 +130,14 @@
 	for {
 		select {
 		case <-x.ctx.Done():
-			return nil, fleet.AllFull
+			return nil, reason
 		case <-timeout.C:
-			return nil, fleet.AllFull
+			return nil, reason
 		case <-q.wake:
 		case <-again.C:
 		}
-		if pick, reason := x.pickNow(model, exclude, true); reason != fleet.AllFull {
-			return pick, reason
+		if pick, now := x.pickNow(model, exclude, true); !hasNoRoom(now) {
+			return pick, now
 		}
 	}
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -28,6 +28,7 @@
 	forwards      *prometheus.CounterVec
 	attemptEnds   *prometheus.CounterVec
 	brittle       *prometheus.CounterVec
+	limited       *prometheus.CounterVec
 	storeCalls    *prometheus.CounterVec
 	storeReasons  *prometheus.CounterVec
 	storeDuration *prometheus.HistogramVec
@@ -75,9 +76,10 @@
 			Name: "pier_store_call_seconds", Help: "Time of calls to the platform's store by operation.", Buckets: latencyBuckets,
 		}, []string{"operation"}),
 		brittle: newBrittleCounter(),
+		limited: newLimitedCounter(),
 		routes:  labelSet{maxValues: maxRouteLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.storeCalls, m.storeReasons, m.storeDuration)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.storeCalls, m.storeReasons, m.storeDuration)
 	return m
 }
 
@@ -95,6 +97,7 @@
 		"pier_blocked_contents":     {"Contents of requests that crash upstreams and are not sent.", s.blockedContents},
 		"pier_reads_store":          {"1 while this VM reads the store itself.", f.readsStoreGauge},
 		"pier_store_age_seconds":    {"Age of the latest proof that nothing of the store is missing.", f.storeAgeGauge},
+		"pier_limited_upstreams":    {"Upstreams that name a limit for all VMs together.", func() float64 { return float64(s.fleet.LimitedUpstreams()) }},
 		"pier_brittle_services":     {"Services whose upstreams crash if they have to reject too many requests.", func() float64 { return float64(s.fleet.BrittleServices(time.Now())) }},
 	}
 	for name, g := range gauges {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -20,6 +20,7 @@
 		Unreachable:     s.forwarder.reportedServices,
 		Stopping:        func() bool { return s.stop.Load() != nil },
 		Brittle:         s.fleet.BrittleReports,
+		Limits:          s.fleet.LimitReports,
 		OnMessage:       s.applyMessage,
 		OnMembership:    s.setVMs,
 		IncarnationName: incarnationName,
@@ -45,6 +46,7 @@
 		s.fleet.SetRemoteLoads(now, m.From.Name, m.Loads)
 	}
 	s.mergeBrittle(now, m.From.Name, m.Brittle)
+	s.mergeRateLimits(now, m.From.Name, m.Limits)
 	for _, d := range m.Departures {
 		if s.fleet.RecordLeaving(now, d, false) {
 			klog.InfoS("fleet: another VM reported that the upstream is leaving", "upstream", d.Upstream, "born", d.Incarnation, "from", m.From.Name)
--- a/internal/edge/ratelimit_test.go
+++ b/internal/edge/ratelimit_test.go
@@ -80,3 +80,46 @@
 	assert.LessOrEqual(t, most, allowedInWindow(1))
 	assert.GreaterOrEqual(t, most, 2, "it gets what it takes")
 }
+
+// Guards against upstreams that get more than their limits, and against requests that are
+// held or answered falsely, where all upstreams name limits.
+func TestAllUpstreamsNameLimits(t *testing.T) {
+	s := newStandardSite(t)
+	s.startVM("vm-2")
+	time.Sleep(time.Second) // the VMs get to know each other
+	s.setFaults("o", platformside.ReplicaFaults{Limit: "2.5"})
+	begin := time.Now()
+	sent, failed := s.offerLoad("look", 20, 10*time.Second)
+	for _, id := range []string{"o0", "o1", "o2"} {
+		most := mostInWindow(s.replicas[id], begin.Add(s.vms[0].settings.Bounds.StabilityWindow))
+		assert.LessOrEqual(t, most, allowedInWindow(2.5), id)
+	}
+	assert.Less(t, len(failed), sent, "some are served")
+	assert.NotEmpty(t, failed)
+	for _, g := range failed {
+		assert.Equal(t, 503, g.status)
+		assert.NotEmpty(t, g.header.Get("Retry-After"))
+		assert.Less(t, g.took, time.Second)
+	}
+}
+
+// Guards against a limit that is given up for a value that means nothing.
+func TestInvalidLimitChangesNothing(t *testing.T) {
+	s := newStandardSite(t)
+	s.replicas["o0"].SetFaults(platformside.ReplicaFaults{Limit: "0.4"})
+	s.replicas["o1"].SetFaults(platformside.ReplicaFaults{Leaving: true})
+	s.replicas["o2"].SetFaults(platformside.ReplicaFaults{Leaving: true})
+	for i := range 3 { // they announce that they leave, and o0 its limit
+		s.do(call{id: fmt.Sprint("first-", i), path: "/look/x", key: key, body: "x"})
+	}
+	s.replicas["o0"].SetFaults(platformside.ReplicaFaults{Limit: "nonsense"})
+	_, failed := s.offerLoad("look", 20, 3*time.Second)
+	assert.GreaterOrEqual(t, len(failed), 50, "the limit before holds")
+	s.replicas["o0"].SetFaults(platformside.ReplicaFaults{})
+	assert.Eventually(t, func() bool {
+		return s.do(call{id: fmt.Sprint("later-", time.Now().UnixNano()), path: "/look/x", key: key, body: "x"}).status == 200
+	}, 25*time.Second, pollInterval)
+	time.Sleep(100 * time.Millisecond)
+	_, failed = s.offerLoad("end", 20, time.Second)
+	assert.Empty(t, failed, "answers name no limit any more")
+}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -234,7 +234,7 @@
 	if x.sendFallback() {
 		return
 	}
-	if reason != fleet.AllFull { // that the upstreams have no room says that they are reachable
+	if !hasNoRoom(reason) {
 		x.recordUnserved()
 	}
 	if x.runs > 0 {
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -260,6 +260,9 @@
 	if left := s.fleet.RoomExpectedIn(time.Now(), service); left > 0 && (reason == fleet.AllFull || reason == fleet.NoneReachable) {
 		return max(left, shortRetryAfter)
 	}
+	if left := s.fleet.LimitWait(time.Now(), service); left > 0 && reason == fleet.AllLimited {
+		return max(left, shortRetryAfter)
+	}
 	if isolatedFor, suspected := s.isolation.status(time.Now()); suspected {
 		return max(failoverRetryAfter-isolatedFor, shortRetryAfter)
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -142,6 +142,12 @@
 	// BrittleLimit is the number of requests above which the upstream crashes if it has
 	// to reject them in one second for want of room; zero for no such limit.
 	BrittleLimit int
+	// RateLimit is the number of requests per second that the upstream takes from all
+	// VMs together; zero if it names none.
+	RateLimit float64
+	// BadRateLimit is what the upstream names in place of a limit; empty if it names a
+	// limit or none.
+	BadRateLimit string
 	// PauseFor is how long the upstream, which rejected the request, wants no further
 	// requests from this VM; zero for no pause.
 	PauseFor time.Duration
--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -302,13 +302,19 @@
 	return halves / 2, halves%2 == 0
 }
 
-// tryRank returns this VM's rank in an epoch of an upstream's tries, by a hash.
+// tryRank returns this VM's rank in an epoch of an upstream's tries.
 func (f *Fleet) tryRank(m *member, epoch int64) int {
-	if r := m.room.rank; r.known && r.generation == f.vmsGeneration && r.epoch == epoch {
+	return f.cachedRank(&m.room.rank, m.hash, epoch)
+}
+
+// cachedRank returns this VM's rank among the VMs in the order of an upstream's hash and
+// an epoch.
+func (f *Fleet) cachedRank(r *tryRank, upstreamHash uint64, epoch int64) int {
+	if r.known && r.generation == f.vmsGeneration && r.epoch == epoch {
 		return r.rank
 	}
 	var buf [24]byte
-	binary.LittleEndian.PutUint64(buf[:], m.hash)
+	binary.LittleEndian.PutUint64(buf[:], upstreamHash)
 	binary.LittleEndian.PutUint64(buf[8:], uint64(epoch)) //nolint:gosec // only hashed
 	hash := func(vm string) uint64 {
 		binary.LittleEndian.PutUint64(buf[16:], xxhash.Sum64String(vm))
@@ -320,7 +326,7 @@
 			rank++
 		}
 	}
-	m.room.rank = tryRank{known: true, generation: f.vmsGeneration, epoch: epoch, rank: rank}
+	*r = tryRank{known: true, generation: f.vmsGeneration, epoch: epoch, rank: rank}
 	return rank
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -83,6 +83,8 @@
 	brittle    map[string]*brittleService // by service
 	// knowsBrittle is whether brittle is not empty. It is read without the lock.
 	knowsBrittle atomic.Bool
+	// limited is the number of upstreams that name a limit. It is read without the lock.
+	limited atomic.Int64
 	// firstListed is when the first list of upstreams arrived.
 	firstListed time.Time
 }
@@ -253,6 +255,7 @@
 		slices.SortFunc(p.members, func(a, b *member) int { return strings.Compare(a.ID, b.ID) })
 		p.rankInVersions()
 	}
+	f.countLimited()
 }
 
 // membersOf returns the members of a service, sorted by ID.
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -79,6 +79,7 @@
 	sentAt        []time.Time // this VM's requests in the cold window
 	coldShare     coldShare
 	room          upstreamRoom
+	limit         rateLimit
 	cachedPrompts *lru.Cache[uint64, time.Time]
 }
 
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -69,6 +69,9 @@
 	// AllFull: the service is brittle, and no allowed upstream has room for one more
 	// request as far as this VM knows.
 	AllFull Reason = "all_full"
+	// AllLimited: the allowed upstreams name limits, of which this VM has used up its
+	// share; the others, if any, are unavailable.
+	AllLimited Reason = "all_limited"
 	// AllPaused: all allowed upstreams want no requests for some time, except for
 	// those of the other reasons.
 	AllPaused Reason = "all_paused"
@@ -198,6 +201,8 @@
 	unreachable
 	// full upstreams are brittle, and have no room as far as this VM knows.
 	full
+	// limited upstreams name a limit, of which this VM has used up its share.
+	limited
 	// coldLimited upstreams are cold, and this VM has used up its limit for them.
 	coldLimited
 )
@@ -212,6 +217,8 @@
 		return coldLimited
 	case f.isFull(now, q, m):
 		return full
+	case f.limitReached(now, m):
+		return limited
 	}
 	return available
 }
@@ -248,8 +255,12 @@
 		return reachable, Picked
 	case seen[full]:
 		return nil, AllFull
+	case seen[limited]:
+		return nil, AllLimited
 	case len(unreached) > 0 && q.FirstAttempt && q.VersionShare == 0 && !seen[coldLimited]:
-		unreached = slices.DeleteFunc(unreached, func(m *member) bool { return f.coldLimitReached(now, m) || f.isFull(now, q, m) })
+		unreached = slices.DeleteFunc(unreached, func(m *member) bool {
+			return f.coldLimitReached(now, m) || f.isFull(now, q, m) || f.limitReached(now, m)
+		})
 		if len(unreached) == 0 {
 			return nil, ColdLimitReached
 		}
@@ -328,6 +339,7 @@
 		p.prefillMs = float64(p.prefillTokens) * c.MsPerToken
 	}
 	f.takeRoom(now, m, q.FirstAttempt)
+	f.takeLimit(now, m)
 	m.inflight++
 	m.prefillMs += p.prefillMs
 	if f.coldRates[m.Service] > 0 {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -49,6 +49,8 @@
 	Departures []fleet.Departure `cbor:"8,keyasint,omitempty"`
 	// Brittle are the services whose upstreams are or were brittle, as far as From knows.
 	Brittle []fleet.BrittleReport `cbor:"13,keyasint,omitempty"`
+	// Limits are the limits that upstreams name, as far as From knows.
+	Limits []fleet.LimitReport `cbor:"14,keyasint,omitempty"`
 	// StoreTroubleMS is the time in milliseconds, at least 1, since a VM of From's
 	// zone last tried to read the store without success; zero if none did lately.
 	StoreTroubleMS int64 `cbor:"9,keyasint,omitempty"`
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -151,6 +151,7 @@
 			ConfigVersion: func() uint64 { return 7 },
 			Suspects:      func(time.Time) []poison.Suspect { return nil },
 			Departures:    func(time.Time) []fleet.Departure { return []fleet.Departure{{Upstream: "u2", Incarnation: 4}} },
+			Limits:        func(time.Time) []fleet.LimitReport { return nil },
 			Brittle: func(time.Time) []fleet.BrittleReport {
 				return []fleet.BrittleReport{{Service: "s", Limit: 8, HeardMS: 2}}
 			},
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -63,6 +63,7 @@
 	// Stopping reports whether this VM is about to stop.
 	Stopping func() bool
 	Brittle  func(now time.Time) []fleet.BrittleReport
+	Limits   func(now time.Time) []fleet.LimitReport
 	// Digest returns the digest of this VM's copy of the store; nil before the copy
 	// was first confirmed.
 	Digest func(now time.Time) *relay.Digest
@@ -222,7 +223,7 @@
 	m := Message{
 		From: s.self, Loads: loads, ConfigVersion: s.callbacks.ConfigVersion(), Digest: s.callbacks.Digest(now),
 		Departures: s.callbacks.Departures(now), Unreachable: s.callbacks.Unreachable(), Stopping: s.callbacks.Stopping(),
-		Brittle: s.callbacks.Brittle(now),
+		Brittle: s.callbacks.Brittle(now), Limits: s.callbacks.Limits(now),
 	}
 	if age, ok := s.callbacks.StoreTrouble(now); ok {
 		m.StoreTroubleMS = max(age.Milliseconds(), 1)
@@ -281,6 +282,8 @@
 			m.Members = m.Members[:len(m.Members)/2]
 		case len(m.Loads) > 0:
 			m.Loads = m.Loads[:len(m.Loads)/2]
+		case len(m.Limits) > 0:
+			m.Limits = m.Limits[:len(m.Limits)/2]
 		case len(m.Brittle) > 0:
 			m.Brittle = m.Brittle[:len(m.Brittle)/2]
 		default:
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -47,6 +47,8 @@
 	// incomplete.
 	UpstreamInvalid Code = 1109
 	ContentBlocked  Code = 1110
+	// RateLimitInvalid: an upstream names a limit that is no single positive number.
+	RateLimitInvalid Code = 1111
 )
 
 // Codes of claims and delivery (1200 to 1299).
@@ -155,6 +157,7 @@
 	NotReady:         {"not_ready", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
 	UpstreamInvalid:  {"upstream_invalid", http.StatusServiceUnavailable, NotRun, 0},
 	ContentBlocked:   {"content_blocked", http.StatusServiceUnavailable, NotRun, time.Minute},
+	RateLimitInvalid: {"rate_limit_invalid", http.StatusServiceUnavailable, NotRun, 0},
 
 	ClaimUnavailable: {"claim_unavailable", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
 	RunUnknown:       {"run_unknown", http.StatusConflict, Unknown, 0},
