fleet, gossip: A caller without a turn returns within 2 s; older builds read datagrams with limits

With many VMs this one's next turn may be minutes away, while others have theirs; the time that is sent is now capped like that of brittle services. TestOlderBuildReadsDatagramsWithLimits pins that a reader without the new field takes the rest of a datagram.

--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -389,7 +389,7 @@
 }
 
 const (
-	// maxRoomWait limits the forecast of when there is room.
+	// maxRoomWait limits the time after which a caller without room is asked to return.
 	maxRoomWait = 2 * time.Second
 	// endIntervalWeight is the weight of the newest interval between ended requests.
 	endIntervalWeight = 0.1
--- a/internal/fleet/ratelimit.go
+++ b/internal/fleet/ratelimit.go
@@ -117,8 +117,9 @@
 	return turnOrder{rank: f.cachedRank(&m.limit.rank, m.hash, 0), vms: vms}
 }
 
-// LimitWait returns when this VM may next send a request to some upstream of a service,
-// or zero if none of them names a limit.
+// LimitWait returns when a caller should return whose request found all upstreams of a
+// service at their limits: at this VM's next turn, or earlier to another VM. It returns
+// zero if no upstream names a limit.
 func (f *Fleet) LimitWait(now time.Time, service string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -132,7 +133,7 @@
 			shortest = max(wait, 1)
 		}
 	}
-	return shortest
+	return min(shortest, maxRoomWait)
 }
 
 // LimitReport is what a VM knows of an upstream's limit. The receiver passes it on, so
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -286,3 +286,21 @@
 		c.LiveInZone(now)
 	}
 }
+
+// Guards against VMs of the build before that drop the datagrams of this one, because they
+// do not know the limits of upstreams.
+func TestOlderBuildReadsDatagramsWithLimits(t *testing.T) {
+	type olderMessage struct {
+		From    Member                `cbor:"1,keyasint"`
+		Loads   []fleet.VMLoad        `cbor:"3,keyasint,omitempty"`
+		Brittle []fleet.BrittleReport `cbor:"13,keyasint,omitempty"`
+	}
+	raw := encode(Message{
+		From: Member{Name: "vm-1"}, Loads: []fleet.VMLoad{{Upstream: "u1", Inflight: 2}},
+		Limits: []fleet.LimitReport{{Upstream: "u1", Incarnation: 1, PerSecond: 1.5, HeardMS: 3}},
+	})
+	var m olderMessage
+	require.NoError(t, cbor.Unmarshal(raw, &m))
+	assert.Equal(t, "vm-1", m.From.Name)
+	assert.Equal(t, 2, m.Loads[0].Inflight)
+}
