poison, edge, platform: What crashes upstreams stays blocked when all VMs are killed

Cause: what is blocked was kept in the VMs' memory only. Class: state that all VMs together must not lose, kept only by them.

Change: one object in the platform's store, blockedcontents/all, holds the blocked contents with the crashes that count. The first VM by name writes it when that changes (the next one a second later if the first is gone), on the condition of the revision, 2 s apart at least; each VM reads it once at its start, with retries up to 10 s apart while the store is away, and serves meanwhile. The first VM reads it again every 30 s while something is blocked, since the store may come back from an older copy. What is restored is judged like any other mark: a crash that a VM knows as cleared stays cleared. Records of another format are neither used nor replaced; damaged ones are logged (1112) and written anew.

Not in it: asking the peers at once at a start (they tell in turns, within 5 s), simulation at 60 and 300 VMs, SIGKILL of real processes. The soak's stand-in of the store now creates and replaces objects.

--- a/cmd/pier-edge/main.go
+++ b/cmd/pier-edge/main.go
@@ -56,9 +56,11 @@
 		func() edge.Ingress { return platform.Ingress{} },
 		func() edge.Protocol { return platform.ReplicaProtocol{} },
 		func() edge.Documents { return platform.Documents{} },
-		func(s *vm.Settings, m *edge.Metrics) catalog.Source {
+		func(s *vm.Settings, m *edge.Metrics) *platform.StoreClient {
 			return platform.NewStoreClient(s.Store.Address, edge.StoreTransport(), m.ObserveStoreCall)
 		},
+		func(s *platform.StoreClient) catalog.Source { return s },
+		func(s *platform.StoreClient) edge.BlockedStore { return s },
 	} {
 		if err := c.Provide(p); err != nil {
 			return fmt.Errorf("container: %w", err)
--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -63,6 +63,8 @@
 	Documents Documents
 	Source    catalog.Source
 	Metrics   *Metrics
+	// Blocked keeps blocked content across restarts of all VMs; nil if nothing does.
+	Blocked BlockedStore `optional:"true"`
 	// LoadSettings reads the settings again; Reload requests it. Both may be nil.
 	LoadSettings func() (*vm.Settings, error) `optional:"true"`
 	Reload       ReloadSignal                 `optional:"true"`
@@ -136,6 +138,10 @@
 		background.Go(func() { w.Run(backgroundCtx) })
 	}
 	background.Go(func() { a.proxy.probeUnreachable(backgroundCtx) })
+	if a.options.Blocked != nil {
+		keeper := &blockedKeeper{proxy: a.proxy, store: a.options.Blocked}
+		background.Go(func() { keeper.run(backgroundCtx) })
+	}
 	liveInZone, err := a.startGossip(backgroundCtx, &background)
 	if err != nil {
 		return err
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -20,19 +20,21 @@
 type Metrics struct {
 	Registry *prometheus.Registry
 
-	requests      *prometheus.CounterVec
-	firstByte     *prometheus.HistogramVec
-	duration      *prometheus.HistogramVec
-	attempts      *prometheus.CounterVec
-	bodyEnds      *prometheus.CounterVec
-	forwards      *prometheus.CounterVec
-	attemptEnds   *prometheus.CounterVec
-	brittle       *prometheus.CounterVec
-	limited       *prometheus.CounterVec
-	storeCalls    *prometheus.CounterVec
-	storeReasons  *prometheus.CounterVec
-	storeDuration *prometheus.HistogramVec
-	routes        labelSet
+	requests    *prometheus.CounterVec
+	firstByte   *prometheus.HistogramVec
+	duration    *prometheus.HistogramVec
+	attempts    *prometheus.CounterVec
+	bodyEnds    *prometheus.CounterVec
+	forwards    *prometheus.CounterVec
+	attemptEnds *prometheus.CounterVec
+	brittle     *prometheus.CounterVec
+	limited     *prometheus.CounterVec
+
+	blockedRecords *prometheus.CounterVec
+	storeCalls     *prometheus.CounterVec
+	storeReasons   *prometheus.CounterVec
+	storeDuration  *prometheus.HistogramVec
+	routes         labelSet
 	// readReason is why this VM currently reads the store or not.
 	readReason atomic.Pointer[relay.Reason]
 }
@@ -77,9 +79,12 @@
 		}, []string{"operation"}),
 		brittle: newBrittleCounter(),
 		limited: newLimitedCounter(),
-		routes:  labelSet{maxValues: maxRouteLabels},
+
+		blockedRecords: newBlockedRecordsCounter(),
+
+		routes: labelSet{maxValues: maxRouteLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.storeCalls, m.storeReasons, m.storeDuration)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration)
 	return m
 }
 
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -211,9 +211,10 @@
 		set.SeedAddresses = append(set.SeedAddresses, other.settings.PeerAddress)
 	}
 	metrics := edge.NewMetrics()
+	client := platform.NewStoreClient(s.address, edge.StoreTransport(), metrics.ObserveStoreCall)
 	app := edge.New(edge.Options{
 		Settings: set, Ingress: platform.Ingress{}, Protocol: platform.ReplicaProtocol{}, Documents: platform.Documents{},
-		Source: platform.NewStoreClient(s.address, edge.StoreTransport(), metrics.ObserveStoreCall), Metrics: metrics, MetricsAddress: s.metrics,
+		Source: client, Blocked: client, Metrics: metrics, MetricsAddress: s.metrics,
 		DialUpstream: s.dial[name],
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/fake/platformside/store.go
+++ b/internal/fake/platformside/store.go
@@ -217,6 +217,8 @@
 	r.Use(s.injectFaults)
 	r.Get(objectsPath+"/{kind}", s.listOrWatch)
 	r.Get(objectsPath+"/{kind}/{name}", s.get)
+	r.Post(objectsPath+"/{kind}", s.create)
+	r.Put(objectsPath+"/{kind}/{name}", s.putSpec)
 	r.Put(objectsPath+"/{kind}/{name}/status", s.putStatus)
 	return r
 }
@@ -364,30 +366,65 @@
 	writeJSON(w, http.StatusOK, o)
 }
 
+func (s *Store) create(w http.ResponseWriter, r *http.Request) {
+	in, ok := decodeObject(w, r)
+	if !ok {
+		return
+	}
+	kind, name := chi.URLParam(r, "kind"), in.Metadata.Name
+	s.mu.Lock()
+	s.calls["write"]++
+	o, exists := s.objects[kind][name]
+	status := http.StatusConflict
+	if !exists {
+		status = http.StatusCreated
+		o = s.commit(kind, name, Object{Metadata: Metadata{Name: name}, Spec: in.Spec})
+	}
+	s.mu.Unlock()
+	writeJSON(w, status, o)
+}
+
+func (s *Store) putSpec(w http.ResponseWriter, r *http.Request) {
+	s.replace(w, r, func(o *Object, in Object) { o.Spec = in.Spec })
+}
+
 func (s *Store) putStatus(w http.ResponseWriter, r *http.Request) {
-	var in Object
-	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || !strings.HasPrefix(r.Header.Get("Content-Type"), "application/json") {
-		w.WriteHeader(http.StatusBadRequest)
+	s.replace(w, r, func(o *Object, in Object) { o.Status = in.Status })
+}
+
+// replace changes an object unless it has another revision than the request.
+func (s *Store) replace(w http.ResponseWriter, r *http.Request, change func(o *Object, in Object)) {
+	in, ok := decodeObject(w, r)
+	if !ok {
 		return
 	}
 	kind, name := chi.URLParam(r, "kind"), chi.URLParam(r, "name")
 	s.mu.Lock()
 	s.calls["write"]++
-	o, ok := s.objects[kind][name]
+	o, exists := s.objects[kind][name]
 	status := http.StatusOK
 	switch {
-	case !ok:
+	case !exists:
 		status = http.StatusNotFound
 	case in.Metadata.Revision != 0 && in.Metadata.Revision != o.Metadata.Revision:
 		status = http.StatusConflict
 	default:
-		o.Status = in.Status
+		change(&o, in)
 		o = s.commit(kind, name, o)
 	}
 	s.mu.Unlock()
 	writeJSON(w, status, o)
 }
 
+// decodeObject decodes the body of a write, or responds with an error.
+func decodeObject(w http.ResponseWriter, r *http.Request) (in Object, ok bool) {
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || !strings.HasPrefix(r.Header.Get("Content-Type"), "application/json") {
+		w.WriteHeader(http.StatusBadRequest)
+		return in, false
+	}
+	return in, true
+}
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	raw, err := json.Marshal(body)
 	if err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -266,6 +266,13 @@
 	return nil
 }
 
+// VMNames returns the entry VMs in the last call of SetVMs, sorted.
+func (f *Fleet) VMNames() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.vms)
+}
+
 // VMCount returns the number of entry VMs in the last call of SetVMs, or zero
 // before the first.
 func (f *Fleet) VMCount() int {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -302,3 +302,61 @@
 		})
 	}
 }
+
+func TestStoredContentIsRestored(t *testing.T) {
+	c := New("vm")
+	for i := range minCrashes {
+		crash(c, 1000*i+100, 1000*i+50, fmt.Sprint(i), []Key{deadly}, []Key{Key(100 + 2*i)})
+	}
+	raw, contents, err := c.Stored(at(3000))
+	assert.NoError(t, err)
+	assert.Equal(t, 1, contents, "suspects below the limit are not stored")
+	fresh := New("vm-2")
+	n, err := fresh.Restore(at(4000), raw)
+	assert.NoError(t, err)
+	assert.Equal(t, 1, n)
+	assert.True(t, blocked(fresh, 4000, deadly))
+	again, _, err := fresh.Stored(at(4000))
+	assert.NoError(t, err)
+	assert.True(t, SameContents(raw, again))
+	left, _ := fresh.Blocked(at(4000), []Key{deadly})
+	assert.LessOrEqual(t, left, 2*minBlockTime)
+	late := New("vm-3")
+	_, err = late.Restore(at(4000).Add(2*blockedTTL), raw)
+	assert.NoError(t, err)
+	assert.False(t, blocked(late, 4000, deadly), "too old")
+}
+
+// Guards against content that was found sound and is blocked again by an older record.
+func TestOlderRecordsBlockNothingThatWasCleared(t *testing.T) {
+	c := New("vm")
+	for i := range minCrashes {
+		crash(c, 1000*i+100, 1000*i+50, fmt.Sprint(i), []Key{sound})
+	}
+	raw, _, err := c.Stored(at(3000))
+	assert.NoError(t, err)
+	c.Completed(at(3100), []Key{sound})
+	_, err = c.Restore(at(3200), raw)
+	assert.NoError(t, err)
+	assert.False(t, blocked(c, 3200, sound))
+	now, contents, err := c.Stored(at(3200))
+	assert.NoError(t, err)
+	assert.Zero(t, contents)
+	assert.False(t, SameContents(raw, now))
+}
+
+func TestDamagedRecords(t *testing.T) {
+	for _, raw := range []string{"", "null", "[]", `"x"`, `{"format":"a"}`, `{"format":1,"contents":[{"key":5}]}`, `{"format":1,"contents":[{"key":"x"}]}`} {
+		c := New("vm")
+		_, err := c.Restore(at(0), []byte(raw))
+		if raw != "null" {
+			assert.Error(t, err, raw)
+		}
+	}
+	c := New("vm")
+	_, err := c.Restore(at(0), []byte(`{"format":2,"contents":[]}`))
+	assert.ErrorIs(t, err, ErrOtherFormat)
+	n, err := c.Restore(at(0), []byte(`{"format":1,"later":true,"contents":[{"key":"4","later":1,"marks":[{"crash":1,"crashedAt":-5,"ranMs":-7}]}]}`))
+	assert.NoError(t, err, "fields of later builds are passed over")
+	assert.Equal(t, 1, n)
+}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -49,6 +49,9 @@
 	ContentBlocked  Code = 1110
 	// RateLimitInvalid: an upstream names a limit that is no single positive number.
 	RateLimitInvalid Code = 1111
+	// BlockedRecordsInvalid: the records of blocked content in the object store cannot be
+	// decoded.
+	BlockedRecordsInvalid Code = 1112
 )
 
 // Codes of claims and delivery (1200 to 1299).
@@ -147,17 +150,18 @@
 	BodyTimeout:             {"body_timeout", http.StatusRequestTimeout, NotRun, time.Second},
 	ForwardNotAllowed:       {"forward_not_allowed", http.StatusBadRequest, NotRun, 0},
 
-	TeamOverLimit:    {"team_over_limit", http.StatusTooManyRequests, NotRun, time.Second},
-	Overloaded:       {"overloaded", http.StatusServiceUnavailable, NotRun, time.Second},
-	NoUpstream:       {"no_upstream", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
-	NoVersion:        {"no_version", http.StatusServiceUnavailable, NotRun, 5 * time.Second},
-	DeadlineTooShort: {"deadline_too_short", http.StatusGatewayTimeout, NotRun, time.Second},
-	Quarantined:      {"quarantined", http.StatusUnprocessableEntity, Ran, 0},
-	Draining:         {"draining", http.StatusServiceUnavailable, NotRun, time.Second},
-	NotReady:         {"not_ready", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
-	UpstreamInvalid:  {"upstream_invalid", http.StatusServiceUnavailable, NotRun, 0},
-	ContentBlocked:   {"content_blocked", http.StatusServiceUnavailable, NotRun, time.Minute},
-	RateLimitInvalid: {"rate_limit_invalid", http.StatusServiceUnavailable, NotRun, 0},
+	TeamOverLimit:         {"team_over_limit", http.StatusTooManyRequests, NotRun, time.Second},
+	Overloaded:            {"overloaded", http.StatusServiceUnavailable, NotRun, time.Second},
+	NoUpstream:            {"no_upstream", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
+	NoVersion:             {"no_version", http.StatusServiceUnavailable, NotRun, 5 * time.Second},
+	DeadlineTooShort:      {"deadline_too_short", http.StatusGatewayTimeout, NotRun, time.Second},
+	Quarantined:           {"quarantined", http.StatusUnprocessableEntity, Ran, 0},
+	Draining:              {"draining", http.StatusServiceUnavailable, NotRun, time.Second},
+	NotReady:              {"not_ready", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
+	UpstreamInvalid:       {"upstream_invalid", http.StatusServiceUnavailable, NotRun, 0},
+	ContentBlocked:        {"content_blocked", http.StatusServiceUnavailable, NotRun, time.Minute},
+	RateLimitInvalid:      {"rate_limit_invalid", http.StatusServiceUnavailable, NotRun, 0},
+	BlockedRecordsInvalid: {"blocked_records_invalid", http.StatusServiceUnavailable, NotRun, 0},
 
 	ClaimUnavailable: {"claim_unavailable", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
 	RunUnknown:       {"run_unknown", http.StatusConflict, Unknown, 0},
