Review: case 2 keeps connections open before the bodies come

The script opened the connections that it counts by a short silence of the replicas, which TROUBLE=0 had, too. It now opens 48 to each VM by small requests.

--- a/review/stand/memory.go
+++ b/review/stand/memory.go
@@ -21,6 +21,8 @@
 	restartDelay   = 500 * time.Millisecond
 	memoryInterval = 5 * time.Millisecond
 	maxCutOff      = 3 // requests that the rule allows
+	// keptConnections are open to each VM before the bodies are sent.
+	keptConnections = 48
 )
 
 // watchMemory does what the platform does with a process that exceeds its memory: it kills
@@ -76,9 +78,16 @@
 	kills := make([]int, len(s.vms))
 	for vm, v := range s.vms {
 		watchers.Go(func() { kills[vm] = s.watchMemory(v, stop) })
-		transport := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
+		transport := &http.Transport{MaxIdleConnsPerHost: keptConnections, DisableCompression: true}
 		defer transport.CloseIdleConnections()
 		wait.Go(func() {
+			var first sync.WaitGroup
+			for n := range keptConnections { // opens connections, which are kept
+				first.Go(func() {
+					s.sendOn(transport, v, call{id: fmt.Sprintf("%d-first-%d", vm, n), method: "POST", host: host, path: "/issue/2f", key: "key-a", body: "x", timeout: 4 * time.Second})
+				})
+			}
+			first.Wait()
 			tick := time.NewTicker(time.Second / uploadsPerS)
 			defer tick.Stop()
 			for n := 0; ; n++ {
@@ -103,10 +112,7 @@
 			}
 		})
 	}
-	// Many connections are open before the silence, as between clients that come again.
-	time.Sleep(2 * time.Second)
-	s.hush(300 * time.Millisecond)
-	time.Sleep(4 * time.Second)
+	time.Sleep(6 * time.Second)
 	if trouble {
 		log.printf("the replicas are silent for %v", silence)
 		s.hush(silence)
