edge: Refusals name path and configuration, and attempts are counted by version

What was missing: the record of the incident has 1008 at all VMs at the same moments, and nothing tells a refused route that was added from one that never existed, nor which version of the configuration refused it. Neither is there a figure of what the attempts said of a version.

Change: the line of a refusal has the version of the configuration that decided, the host and the path; 'request: done' has the version that admitted the request, not the one in force at its end. pier_version_attempts_total counts attempts by service, version and what they say (good, bad, nothing).

Evidence: internal/edge and internal/explain pass.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -16,6 +16,9 @@
 // maxServiceLabels limits the services whose retry budget is exported.
 const maxServiceLabels = 32
 
+// maxVersionLabels limits the versions of services that have labels of their own.
+const maxVersionLabels = 64
+
 // Metrics are the counters and histograms of the request path.
 type Metrics struct {
 	Registry *prometheus.Registry
@@ -29,12 +32,14 @@
 	attemptEnds *prometheus.CounterVec
 	brittle     *prometheus.CounterVec
 	limited     *prometheus.CounterVec
+	versions    *prometheus.CounterVec
 
 	blockedRecords *prometheus.CounterVec
 	storeCalls     *prometheus.CounterVec
 	storeReasons   *prometheus.CounterVec
 	storeDuration  *prometheus.HistogramVec
 	routes         labelSet
+	versionNames   labelSet // "SERVICE VERSION"
 	// readReason is why this VM currently reads the store or not.
 	readReason atomic.Pointer[relay.Reason]
 }
@@ -77,14 +82,17 @@
 		storeDuration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "pier_store_call_seconds", Help: "Time of calls to the platform's store by operation.", Buckets: latencyBuckets,
 		}, []string{"operation"}),
+		versions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pier_version_attempts_total", Help: "Attempts by service and version, and what they say of the version.",
+		}, []string{"version", "says"}),
 		brittle: newBrittleCounter(),
 		limited: newLimitedCounter(),
 
 		blockedRecords: newBlockedRecordsCounter(),
 
-		routes: labelSet{maxValues: maxRouteLabels},
+		routes: labelSet{maxValues: maxRouteLabels}, versionNames: labelSet{maxValues: maxVersionLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration)
 	return m
 }
 
@@ -150,6 +158,18 @@
 	}
 }
 
+// countVersionOutcome counts what an attempt says of its upstream's version.
+func (m *Metrics) countVersionOutcome(service, version string, conclusive, bad bool) {
+	says := "nothing"
+	switch {
+	case conclusive && bad:
+		says = "bad"
+	case conclusive:
+		says = "good"
+	}
+	m.versions.WithLabelValues(m.versionNames.labelFor(service+" "+version), says).Inc()
+}
+
 func (m *Metrics) countAttempt(a *attempt) {
 	m.attempts.WithLabelValues(a.model, a.attemptStatus.String()).Inc()
 	m.attemptEnds.WithLabelValues(string(a.endCause())).Inc()
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -34,6 +34,9 @@
 	forwarded *forwardInfo
 	// elsewhere is true if this VM refuses a forwarded request that other VMs may serve.
 	elsewhere bool
+	// configVersion is the version of the configuration that admitted or refused the
+	// request; zero if none was loaded.
+	configVersion uint64
 	// counted is true once the request is counted for the retry budget, by this VM or
 	// by the one that forwarded it.
 	counted bool
@@ -189,6 +192,7 @@
 	late := a.late(now)
 	conclusive := late || upstreamOutcome == fleet.OutcomeSuccess || (upstreamOutcome == fleet.OutcomeFailed && a.attemptStatus == exchange.Answered)
 	conclusive = conclusive && x.outcomes.add(a)
+	x.proxy.metrics.countVersionOutcome(x.req.Service.Name, a.pick.Version, conclusive, late || upstreamOutcome == fleet.OutcomeFailed)
 	x.proxy.recordAttemptOutcome(canary.Outcome{
 		Service: x.req.Service.Name, Version: a.pick.Version, Route: x.req.Route.Name,
 		Conclusive: conclusive, Bad: conclusive && (late || upstreamOutcome == fleet.OutcomeFailed), Running: a.running(),
@@ -292,11 +296,17 @@
 	x.status = e.Code.Info().HTTPStatus
 	klog.InfoS("request: responding with an error of this VM", "request", x.req.ID, "code", int(e.Code), "name", x.outcome, "run", e.Run,
 		"because", reason, "retryAfter", e.RetryAfter.Milliseconds(), "tries", len(x.tried),
-		"isolated", x.proxy.isolation.isIsolated(), "connRequests", x.connRequests)
+		"isolated", x.proxy.isolation.isIsolated(), "connRequests", x.connRequests,
+		"config", x.configVersion, "host", x.req.Host, "path", truncate(x.req.RequestURI, maxLoggedPath))
 	x.markForwardResult(x.w.Header())
 	x.proxy.writeError(x.w, x.req.ID, e)
 }
 
+// maxLoggedPath limits the bytes of a request's path in the log.
+const maxLoggedPath = 80
+
+func truncate(s string, maxBytes int) string { return s[:min(len(s), maxBytes)] }
+
 func (s *Proxy) writeError(w http.ResponseWriter, id string, e *result.Error) {
 	h := w.Header()
 	s.ingress.SetRequestID(h, id)
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -100,6 +100,7 @@
 		x.elsewhere = true
 		return result.New(result.NotReady, "no configuration is loaded yet")
 	}
+	x.configVersion = config.Version
 	if e := x.refuseForwarded(); e != nil {
 		return e
 	}
@@ -192,7 +193,7 @@
 	x.proxy.metrics.observeRequest(route, x.outcome, x.firstByte, took)
 	klog.InfoS("request: done", "request", x.req.ID, "route", route, "team", x.req.Team, "session", x.req.Session,
 		"outcome", x.outcome, "status", x.status, "tries", len(x.tried), "runs", x.runs,
-		"first", x.firstByte.Milliseconds(), "took", took.Milliseconds(), "config", x.proxy.configVersion(), "from", x.from())
+		"first", x.firstByte.Milliseconds(), "took", took.Milliseconds(), "config", x.configVersion, "from", x.from())
 }
 
 func (s *Proxy) configVersion() uint64 {
