--- a/cmd/pier-soak/main.go
+++ b/cmd/pier-soak/main.go
@@ -26,6 +26,7 @@
 	Duration time.Duration `default:"15s" help:"Duration of the faults of each seed."`
 	VMs      int           `name:"vms" default:"4" help:"Number of entry VMs."`
 	Callers  int           `default:"12" help:"Number of callers."`
+	Steps    []string      `help:"Names of the steps to draw; all if empty."`
 }
 
 func main() {
@@ -37,7 +38,7 @@
 	for seed := opts.Seed; seed < opts.Seed+opts.Seeds; seed++ {
 		dir := filepath.Join(opts.Dir, fmt.Sprintf("seed-%d", seed))
 		result, err := sitesoak.Run(sitesoak.Options{
-			Program: opts.Program, Dir: dir, Seed: seed, Duration: opts.Duration, VMs: opts.VMs, Callers: opts.Callers,
+			Program: opts.Program, Dir: dir, Seed: seed, Duration: opts.Duration, VMs: opts.VMs, Callers: opts.Callers, Steps: opts.Steps,
 			OnStart: func(stopAll func()) { go stopOnInterrupt(interrupted, stopAll) },
 		})
 		if err != nil {
--- a/internal/fake/platformside/replica.go
+++ b/internal/fake/platformside/replica.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -56,6 +57,28 @@
 	Pause time.Duration
 	// Delay is the time to wait before the first byte of the response.
 	Delay time.Duration
+	// FailShare is the share of requests, 0 to 1, that run and get a signed 500, and
+	// SlowShare the share that take Slowdown times as long.
+	FailShare, SlowShare float64
+	Slowdown             int
+	// FaultyTarget begins the targets of the requests to which FailShare and SlowShare
+	// apply; empty for all.
+	FaultyTarget string
+}
+
+// IsBad reports whether the faults are those of a bad version.
+func (f ReplicaFaults) IsBad() bool { return f.FailShare > 0 || f.SlowShare > 0 }
+
+// of returns the faults that apply to one request.
+func (f ReplicaFaults) of(target string) ReplicaFaults {
+	if !strings.HasPrefix(target, f.FaultyTarget) {
+		f.FailShare, f.SlowShare = 0, 0
+	}
+	f.Fail = f.Fail || rand.Float64() < f.FailShare
+	if rand.Float64() >= f.SlowShare {
+		f.Slowdown = 0
+	}
+	return f
 }
 
 // Run records one request that a replica executed.
@@ -71,6 +94,8 @@
 	LastEventID string
 	Body        string
 	StartedAt   time.Time
+	// Bad is set if a fault of the replica's version applied.
+	Bad bool
 	// Done is set when the run has ended, and Canceled when the client had
 	// canceled the request by then.
 	Done     bool
@@ -177,7 +202,8 @@
 		return // the request body is incomplete
 	}
 	serve := func(w http.ResponseWriter, r *http.Request) {
-		run := p.recordRun(r, string(body))
+		f := f.of(r.RequestURI)
+		run := p.recordRun(r, string(body), f.IsBad() && (f.Fail || f.Slowdown > 0))
 		defer p.finishRun(run, r)
 		time.Sleep(f.Delay)
 		p.respond(w, r, run, f)
@@ -189,12 +215,12 @@
 	serve(w, r)
 }
 
-func (p *Replica) recordRun(r *http.Request, body string) *Run {
+func (p *Replica) recordRun(r *http.Request, body string, bad bool) *Run {
 	h := r.Header
 	run := &Run{
 		ID: h.Get("X-Attempt-Id"), Replica: p.ID, Method: r.Method, Target: r.RequestURI, Tenant: h.Get("X-Tenant"),
 		APIKey: h.Get("Api-Key"), Model: h.Get("X-Model"), Deadline: h.Get("X-Deadline-Ms"), LastEventID: h.Get("Last-Event-Id"),
-		Body: body, StartedAt: time.Now(),
+		Body: body, StartedAt: time.Now(), Bad: bad,
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -249,7 +275,7 @@
 }
 
 func (p *Replica) writePlain(w http.ResponseWriter, r *http.Request, run *Run, f ReplicaFaults) {
-	time.Sleep(p.ProcessingTime)
+	time.Sleep(p.ProcessingTime * time.Duration(max(f.Slowdown, 1)))
 	status, body := http.StatusOK, "answer to "+run.ID+" "+strings.Repeat("x", 600)
 	if f.Fail {
 		status, body = http.StatusInternalServerError, "failure of "+run.ID
@@ -330,7 +356,7 @@
 			p.Crash()
 			panic(http.ErrAbortHandler)
 		}
-		time.Sleep(p.EventInterval)
+		time.Sleep(p.EventInterval * time.Duration(max(f.Slowdown, 1)))
 		if id == lastReceived+2 {
 			time.Sleep(f.Pause)
 		}
--- a/internal/fake/sitesoak/callers.go
+++ b/internal/fake/sitesoak/callers.go
@@ -21,6 +21,8 @@
 	status                  int
 	// cancels is set if the caller cancels early, cut if the response was truncated.
 	cancels, cut bool
+	// probe is set for requests that only show which configuration is in force.
+	probe bool
 	// inStop is set for requests to a VM in a planned stop without faults.
 	inStop bool
 }
@@ -195,7 +197,7 @@
 	}
 	h.mu.Unlock()
 	runCounts := make(map[string]int)
-	for _, r := range h.replicas {
+	for _, r := range h.allReplicas() {
 		for _, run := range r.runs() {
 			runCounts[run.ID]++
 			h.checkRun(requests, run)
@@ -206,7 +208,7 @@
 		if n > 3 {
 			h.recordViolation("%s: %d runs, the maximum is 3", id, n)
 		}
-		if r.inStop && !r.cancels && (r.status == 0 || r.cut) {
+		if r.inStop && !r.cancels && !r.probe && (r.status == 0 || r.cut) {
 			h.recordViolation("%s on %s: cut in a planned stop, sent at %v", id, r.vm, r.sentAt)
 		}
 		if !strings.HasPrefix(r.path, "/once/") {
--- a/internal/fake/sitesoak/harness.go
+++ b/internal/fake/sitesoak/harness.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -26,6 +27,8 @@
 	Duration time.Duration
 	VMs      int
 	Callers  int
+	// Steps are the names of the steps that the schedule draws; empty for all.
+	Steps []string
 	// OnStart is called once, with a function that ends all processes of the run;
 	// it may be nil.
 	OnStart func(stopAll func())
@@ -46,6 +49,22 @@
 	previous    []*platformside.Replica
 	incarnation int
 	ready       bool
+	faults      platformside.ReplicaFaults // of the replica's version
+}
+
+// setFaults sets the faults of the replica's version, also for later incarnations.
+func (r *replica) setFaults(f platformside.ReplicaFaults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+	r.current.SetFaults(f)
+}
+
+// versionFaults returns the faults of the replica's version.
+func (r *replica) versionFaults() platformside.ReplicaFaults {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults
 }
 
 // ServeHTTP forwards requests to the current incarnation.
@@ -81,13 +100,21 @@
 	store       *platformside.Store
 	storeServer *httptest.Server
 	vms         []*entryVM
-	replicas    []*replica
 	startedAt   time.Time
 
+	// rollOutMu is held during a roll-out, and guards versions, the number of versions
+	// that were rolled out.
+	rollOutMu sync.Mutex
+	versions  int
+
 	mu             sync.Mutex
+	replicas       []*replica // that have not left for good
+	retired        []*replica
 	configVersion  int
 	keys           []string
 	revokedAt      map[string]time.Time // by key: when the store had the configuration without it
+	confirmed      []confirmedConfig
+	applyTimes     []time.Duration // from the confirmation of a configuration to its first effect, by VM
 	lastStoreFault time.Time
 	events         []string
 	violations     []string
@@ -117,7 +144,7 @@
 		if i >= engineReplicas {
 			service = orderService
 		}
-		if err := w.addReplica(fmt.Sprintf("p%d", i), service, string(rune('a'+i%2))); err != nil {
+		if _, err := w.addReplica(fmt.Sprintf("p%d", i), service, string(rune('a'+i%2)), "v1"); err != nil {
 			return nil, err
 		}
 	}
@@ -136,19 +163,49 @@
 	return w, nil
 }
 
-func (h *harness) addReplica(name, service, zone string) error {
-	r := &replica{name: name, service: service, zone: zone, version: "v1"}
+func (h *harness) addReplica(name, service, zone, version string) (*replica, error) {
+	r := &replica{name: name, service: service, zone: zone, version: version}
 	r.current = platformside.NewReplica(name + "-0")
-	r.current.Confidence = map[string]int{"small": 30 + 20*h.rng.IntN(4)}
+	r.current.Confidence = map[string]int{"small": 30 + 20*(len(h.allReplicas())%4)}
 	r.server = httptest.NewServer(r)
 	p, err := newProxy(strings.TrimPrefix(r.server.URL, "http://"))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	r.proxy = p
+	h.mu.Lock()
 	h.replicas = append(h.replicas, r)
+	h.mu.Unlock()
 	h.publish(r, "ready")
-	return nil
+	return r, nil
+}
+
+// liveReplicas returns the replicas that have not left for good, and allReplicas all.
+func (h *harness) liveReplicas() []*replica {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.replicas)
+}
+
+func (h *harness) allReplicas() []*replica {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Concat(h.replicas, h.retired)
+}
+
+func (h *harness) replicasOf(service string) []*replica {
+	return slices.DeleteFunc(h.liveReplicas(), func(r *replica) bool { return r.service != service })
+}
+
+// retire ends a replica for good.
+func (h *harness) retire(r *replica) {
+	h.mu.Lock()
+	h.replicas = slices.DeleteFunc(h.replicas, func(o *replica) bool { return o == r })
+	h.retired = append(h.retired, r)
+	h.mu.Unlock()
+	r.proxy.setFaults(linkFaults{refuseConns: true})
+	r.proxy.resetConns()
+	h.store.Remove("servers", r.id())
 }
 
 // publish writes a replica's entry to the store.
@@ -174,6 +231,7 @@
 	r.incarnation++
 	next := platformside.NewReplica(fmt.Sprintf("%s-%d", r.name, r.incarnation))
 	next.Confidence = r.current.Confidence
+	next.SetFaults(r.faults)
 	r.previous = append(r.previous, r.current)
 	r.current = next
 	r.mu.Unlock()
@@ -192,7 +250,7 @@
 		{"name": "look", "host": host, "pathPrefix": "/look/", "routeType": "safe", "timeoutMs": 1500, "targetLatencyMs": 150, "service": orderService, "maxAttempts": 3},
 	}
 	h.store.Put("config", "main", map[string]any{
-		"version": h.configVersion, "routes": append(routes, extraRoutes...),
+		"version": h.configVersion, "routes": append(append(routes, markerRoute(h.configVersion)), extraRoutes...),
 		"services": []any{
 			map[string]any{"name": engineService, "engine": map[string]any{"slots": 8, "kvCapacity": 100000, "models": []any{
 				map[string]any{"name": "small", "cost": 0.01}, map[string]any{"name": "large", "cost": 0.12},
@@ -202,6 +260,7 @@
 		"limits":  map[string]any{"maxBodyBytes": 1 << 20, "maxHeaderBytes": 16384, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "team-1", "apiKeys": append([]string(nil), h.keys...)}},
 	})
+	h.confirmed = append(h.confirmed, confirmedConfig{version: h.configVersion, confirmedAt: time.Now()})
 }
 
 // rotateKey revokes the current key and issues a new one.
@@ -233,6 +292,11 @@
 func (h *harness) recordViolation(format string, args ...any) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.violate(format, args...)
+}
+
+// violate is recordViolation for callers that hold h.mu.
+func (h *harness) violate(format string, args ...any) {
 	h.violations = append(h.violations, fmt.Sprintf("%7.3f %s", time.Since(h.startedAt).Seconds(), fmt.Sprintf(format, args...)))
 }
 
@@ -253,7 +317,7 @@
 	for _, v := range h.vms {
 		v.storeProxy.close()
 	}
-	for _, r := range h.replicas {
+	for _, r := range h.allReplicas() {
 		r.proxy.close()
 		r.server.CloseClientConnections()
 	}
--- a/internal/fake/sitesoak/process.go
+++ b/internal/fake/sitesoak/process.go
@@ -26,6 +26,7 @@
 
 	mu            sync.Mutex
 	cmd           *exec.Cmd
+	starts        int
 	exited        chan struct{}
 	exitExpected  bool      // set before the process is stopped on purpose
 	lastFault     time.Time // time of the latest fault that affected the VM
@@ -39,8 +40,8 @@
 listen: {frontend: %q, ready: %q, controlPlane: %q}
 seedNodes: [%s]
 limits: {cpuQuota: 0.4, memoryMb: 134, maxFds: 4100}
-bounds: {stabilityWindowMs: 3000, drainTimeoutMs: 2000, graceS: 4, configApplyMs: 2000, retryBudgetRatio: 0.9, budgetWindowS: 10, retrySlack: 640, exposureShare: 0.15, exposureTolerance: 30, coldOverage: 1.5, coldTolerance: 5, sessionTtlS: 5}
-platform: {address: %q}
+bounds: {stabilityWindowMs: 3000, drainTimeoutMs: 2000, graceS: 4, configApplyMs: 2000, rollbackMs: 5000, retryBudgetRatio: 0.9, budgetWindowS: 10, retrySlack: 640, exposureShare: 0.15, exposureTolerance: 30, coldOverage: 1.5, coldTolerance: 5, sessionTtlS: 5}
+platform: {address: %q, historyS: 20, maxValueBytes: 1048576}
 `
 
 func newEntryVM(dir, programPath, name, zone, peerAddr, seeds, storeAddr string) (*entryVM, error) {
@@ -80,6 +81,7 @@
 	exited := make(chan struct{})
 	v.mu.Lock()
 	v.cmd, v.exited, v.exitExpected, v.stoppingSince = cmd, exited, false, time.Time{}
+	v.starts++
 	v.mu.Unlock()
 	go func() {
 		_ = cmd.Wait() // the exit status does not matter, only whether the exit was expected
@@ -89,6 +91,13 @@
 	return nil
 }
 
+// incarnation returns how often the process has been started.
+func (v *entryVM) incarnation() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.starts
+}
+
 // signal sends a signal to the process and records it as a fault.
 func (v *entryVM) signal(s syscall.Signal) {
 	v.mu.Lock()
--- a/internal/fake/sitesoak/run.go
+++ b/internal/fake/sitesoak/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -29,6 +30,9 @@
 	Served     int
 	Events     []string
 	Violations []string
+	// ApplyTimes are the times from the confirmation of a configuration to its first
+	// effect at a VM without recent faults, in ascending order.
+	ApplyTimes []time.Duration
 }
 
 // Run runs the soak with one seed.
@@ -52,6 +56,9 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	callers := w.startCallers(ctx)
+	for _, v := range w.vms {
+		callers.Go(func() { w.probeConfigs(ctx, v) })
+	}
 	w.runSchedule(time.Now().Add(opts.Duration))
 	w.checkRecovery()
 	stop()
@@ -69,12 +76,17 @@
 func (h *harness) result() Result {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r := Result{Seed: h.opts.Seed, Requests: len(h.requests), Events: h.events, Violations: h.violations}
+	r := Result{Seed: h.opts.Seed, Events: h.events, Violations: h.violations}
 	for _, q := range h.requests {
+		if q.probe {
+			continue
+		}
+		r.Requests++
 		if q.status == http.StatusOK {
 			r.Served++
 		}
 	}
+	r.ApplyTimes = slices.Sorted(slices.Values(h.applyTimes))
 	return r
 }
 
@@ -159,6 +171,9 @@
 // there are violations.
 func (r Result) Print(out io.Writer) {
 	fmt.Fprintf(out, "seed %d: %d requests, %d served, %d events, %d violations\n", r.Seed, r.Requests, r.Served, len(r.Events), len(r.Violations))
+	if n := len(r.ApplyTimes); n > 0 {
+		fmt.Fprintf(out, "  configurations in force after %v (median), %v (99 in 100), %v (last), %d times\n", r.ApplyTimes[n/2], r.ApplyTimes[n*99/100], r.ApplyTimes[n-1], n)
+	}
 	if len(r.Violations) == 0 {
 		return
 	}
--- a/internal/fake/sitesoak/schedule.go
+++ b/internal/fake/sitesoak/schedule.go
@@ -33,13 +33,15 @@
 	"evacuate":      (*harness).withdrawZone,
 	"config":        (*harness).changeRoutes,
 	"revoke":        (*harness).revokeKey,
+	"storm":         (*harness).stormRoutes,
+	"rollout":       (*harness).rollOut,
 }
 
 // weightedSteps has the names of the steps in a fixed order, so that a seed always
 // gives the same schedule. Steps with many variants are listed several times.
 var weightedSteps = []string{
 	"term", "kill", "pause", "hup", "store_link", "store_fault", "compact", "replica_link", "replica_fault", "crash",
-	"leave", "evacuate", "config", "revoke",
+	"leave", "evacuate", "config", "revoke", "storm", "rollout",
 	"replica_fault", "replica_fault", "replica_fault", "replica_fault", "replica_link", "store_fault",
 }
 
@@ -49,6 +51,9 @@
 	var wg sync.WaitGroup
 	for time.Now().Before(end) {
 		name := weightedSteps[h.rng.IntN(len(weightedSteps))]
+		if len(h.opts.Steps) > 0 {
+			name = h.opts.Steps[h.rng.IntN(len(h.opts.Steps))]
+		}
 		duration := time.Duration(200+h.rng.IntN(2500)) * time.Millisecond
 		rng := rand.New(rand.NewPCG(h.rng.Uint64(), 5))
 		h.recordEvent("%s for %v", name, duration)
@@ -61,7 +66,8 @@
 func (h *harness) randomVM(rng *rand.Rand) *entryVM { return h.vms[rng.IntN(len(h.vms))] }
 
 func (h *harness) randomReplica(rng *rand.Rand) *replica {
-	return h.replicas[rng.IntN(len(h.replicas))]
+	live := h.liveReplicas()
+	return live[rng.IntN(len(live))]
 }
 
 // restartVM waits until a process has exited and starts it again.
@@ -203,7 +209,7 @@
 	r.mu.Unlock()
 	p.SetFaults(f)
 	time.Sleep(duration)
-	p.SetFaults(platformside.ReplicaFaults{})
+	p.SetFaults(r.versionFaults())
 }
 
 func (h *harness) crashRandomReplica(rng *rand.Rand, duration time.Duration) {
@@ -240,7 +246,7 @@
 	h.store.Put("evacuations", zone, map[string]any{})
 	withdrawnAt := time.Now()
 	time.Sleep(maxWithdrawalTime + time.Second)
-	for _, r := range h.replicas {
+	for _, r := range h.liveReplicas() {
 		r.mu.Lock()
 		p := r.current
 		r.mu.Unlock()
@@ -278,5 +284,10 @@
 	h.publishConfig(extraRoutes)
 }
 
+// stormRoutes is the step that calls stormConfigs.
+func (h *harness) stormRoutes(rng *rand.Rand, _ time.Duration) {
+	h.stormConfigs(5+rng.IntN(8), time.Duration(60+rng.IntN(300))*time.Millisecond)
+}
+
 // revokeKey is the step that calls rotateKey.
 func (h *harness) revokeKey(*rand.Rand, time.Duration) { h.rotateKey() }
