platform: An entry that cannot be decoded costs only itself

Cause: a response was decoded as one document. Class: input of one writer decides over that of all others.

Change: entries are split without decoding them and decoded one by one; one that fails is left out, with a line (3010).

--- a/cmd/pier-edge/main.go
+++ b/cmd/pier-edge/main.go
@@ -57,7 +57,7 @@
 		func() edge.Protocol { return platform.ReplicaProtocol{} },
 		func() edge.Documents { return platform.Documents{} },
 		func(s *vm.Settings, m *edge.Metrics) *platform.StoreClient {
-			return platform.NewStoreClient(s.Store.Address, edge.StoreTransport(), m.ObserveStoreCall)
+			return platform.NewStoreClient(s.Store.Address, s.Store.MaxValueBytes, edge.StoreTransport(), m.ObserveStoreCall)
 		},
 		func(s *platform.StoreClient) catalog.Source { return s },
 		func(s *platform.StoreClient) edge.BlockedStore { return s },
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -211,7 +211,7 @@
 		set.SeedAddresses = append(set.SeedAddresses, other.settings.PeerAddress)
 	}
 	metrics := edge.NewMetrics()
-	client := platform.NewStoreClient(s.address, edge.StoreTransport(), metrics.ObserveStoreCall)
+	client := platform.NewStoreClient(s.address, 0, edge.StoreTransport(), metrics.ObserveStoreCall)
 	app := edge.New(edge.Options{
 		Settings: set, Ingress: platform.Ingress{}, Protocol: platform.ReplicaProtocol{}, Documents: platform.Documents{},
 		Source: client, Blocked: client, Metrics: metrics, MetricsAddress: s.metrics,
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -109,6 +109,11 @@
 	PlatformGone Code = 3007
 	// RollOutTooShort: the roll-out has no time between its trial and its deadline.
 	RollOutTooShort Code = 3008
+	// PlatformUnusable: the store responded, and the response is too long, cut short or
+	// cannot be decoded.
+	PlatformUnusable Code = 3009
+	// PlatformEntryInvalid: one object of a response cannot be decoded.
+	PlatformEntryInvalid Code = 3010
 )
 
 // Codes of calls between the fleet's processes (3100 to 3199).
@@ -193,6 +198,8 @@
 	PlatformBusy:         {"platform_busy", http.StatusTooManyRequests, NotRun, time.Second},
 	PlatformGone:         {"platform_gone", http.StatusGone, NotRun, 0},
 	RollOutTooShort:      {"rollout_too_short", http.StatusBadRequest, NotRun, 0},
+	PlatformUnusable:     {"platform_unusable", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
+	PlatformEntryInvalid: {"platform_entry_invalid", http.StatusBadRequest, NotRun, 0},
 
 	PeerUnreachable:    {"peer_unreachable", http.StatusServiceUnavailable, Unknown, time.Second},
 	PeerRefused:        {"peer_refused", http.StatusForbidden, NotRun, 0},
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -39,6 +39,8 @@
 	// History is how long the store keeps its history of changes, at most; zero if
 	// unknown.
 	History time.Duration
+	// MaxValueBytes is the maximum size of one object; zero if unknown.
+	MaxValueBytes int64
 }
 
 // Bounds are the limits of the guarantees that the operators check.
