catalog, platform: A response of the store that cannot be used is replaced by a list

Cause: a watch returned all versions at once, more than the VM takes, counted as no response, and was asked for again, with more in it each time. All VMs stood at the same version, so that no peer could help. Class: a limit of what a VM accepts without a way on for what is beyond it.

Change: a response that is too long, cut short or undecodable (3009) shows that the store is there: no outage, and the kind is listed next, in which each object stands once.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -41,9 +41,11 @@
 	Deleted bool
 }
 
-// Source reads and writes the store. Its errors carry a code of package result.
+// Source reads and writes the store. Its errors carry a code of package result:
+// PlatformUnusable if the store responded, and the response cannot be used.
 type Source interface {
-	// List returns all objects of a kind and the revision at which they were read.
+	// List returns all objects of a kind and the revision from which a watch returns all
+	// changes that the list may lack.
 	List(ctx context.Context, kind Kind) ([]Object, uint64, error)
 	// Watch waits at most wait for changes after a revision. It returns the changes
 	// and the revision up to which they are complete. It fails with the code
--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cranberrypier/cranberrypier/internal/logs"
+	"github.com/cranberrypier/cranberrypier/internal/result"
 )
 
 const (
@@ -207,14 +208,30 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	g.storeResponded(w, now)
+	if w == g.prober && !now.Before(g.confirmableFrom) {
+		g.confirmedAt = now
+	}
+}
+
+// responseUnusable records a response that cannot be used. It shows that the store is
+// available, but confirms nothing.
+func (g *Group) responseUnusable(w *Watcher, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	klog.InfoS("catalog: the store's response cannot be used; the kind is listed next", "code", int(result.PlatformUnusable), "kind", w.kind,
+		"complete", g.cache.CompleteRevision(w.kind), "err", logs.Err(err))
+	g.storeResponded(w, time.Now())
+}
+
+// storeResponded records that the store responded to a watcher's call. It is called with
+// the lock held.
+func (g *Group) storeResponded(w *Watcher, now time.Time) {
 	if g.unproven && w == g.prober {
 		g.unproven, g.confirmableFrom = false, now.Add(minConfirmDelay)
 		w.shortenNextWait()
 		g.restartOthers(w)
 	}
-	if w == g.prober && !now.Before(g.confirmableFrom) {
-		g.confirmedAt = now
-	}
 	if g.failingSince.IsZero() || w.callStartTime().Before(g.failingSince) {
 		return // a call sent before the outage does not show that the outage is over
 	}
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -178,6 +178,9 @@
 		w.group.relistBehind(w, after)
 		return nil
 	}
+	if result.Is(err, result.PlatformUnusable) {
+		w.setRelist(true) // a list has each object once, however often it changed
+	}
 	if err != nil {
 		return err
 	}
@@ -288,5 +291,9 @@
 		maxBackoff = w.pace.MaxBackoff
 	}
 	w.backoff = min(max(2*w.backoff, minBackoff), maxBackoff)
+	if result.Is(err, result.PlatformUnusable) {
+		w.group.responseUnusable(w, err)
+		return
+	}
 	w.group.callFailed(w, err)
 }
--- a/internal/catalog/watcher_test.go
+++ b/internal/catalog/watcher_test.go
@@ -24,6 +24,7 @@
 	stalls        int    // incremented to stall all watches in progress
 	hanging       bool
 	err           error
+	watchErr      map[Kind]error // of watches that would return changes
 	calls         map[string]int
 	wake          chan struct{}
 }
@@ -113,6 +114,8 @@
 			return nil, 0, err
 		case expired && !stalled:
 			return nil, 0, result.New(result.PlatformGone, "history expired")
+		case len(out) > 0 && !stalled && s.watchErr[kind] != nil:
+			return nil, 0, s.watchErr[kind]
 		case len(out) > 0 && !stalled:
 			return out, at, nil
 		}
@@ -298,3 +301,33 @@
 		assert.GreaterOrEqual(t, store.count("list "+string(Upstreams)), 20)
 	})
 }
+
+// Guards against a response that cannot be used and is asked for again, or counts as an
+// outage of the store.
+func TestUnusableWatchResponseIsReplacedByAList(t *testing.T) {
+	for _, kind := range []Kind{Configurations, Upstreams} {
+		t.Run(string(kind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				store.watchErr = map[Kind]error{kind: result.New(result.PlatformUnusable, "too long")}
+				group, shortWait, longWait := startGroup(t, store)
+				time.Sleep(time.Second)
+				for _, name := range []string{"a", "b", "c"} {
+					begin := time.Now()
+					store.put(kind, name)
+					time.Sleep(time.Second)
+					r := longWait
+					if kind == Upstreams {
+						r = shortWait
+					}
+					delay, ok := r.delay(name, begin)
+					assert.True(t, ok)
+					assert.Less(t, delay, 500*time.Millisecond)
+					assert.False(t, group.StoreUnavailable())
+				}
+				assert.Zero(t, shortWait.recoveries)
+				assert.LessOrEqual(t, store.count("list "+string(kind)), 4)
+			})
+		})
+	}
+}
