edge: The head of another response ends a stream

What callers would see here: errors of the next replica (signed, unsigned, rejections, text without events) are not passed on, and the stream is not ended as complete. But a head inside a stream's body, as after a whole stream whose connection marks its end, or where a replica frames it as part of the body, ends with an empty line and was passed on as an event.

Change: a line that begins a response ends the stream before it as broken off, to be resumed elsewhere.

--- a/internal/edge/sse.go
+++ b/internal/edge/sse.go
@@ -20,8 +20,12 @@
 
 	errEndInsideEvent = errors.New("the stream ended inside an event")
 	errNoEvents       = errors.New("the connection ended before the first event")
+	errHeadInStream   = errors.New("the head of another response follows in the stream")
 )
 
+// lineOfHead is the end of a line and the begin of a response's head.
+var lineOfHead = []byte("\nHTTP/1.")
+
 // eventReader splits a text/event-stream into complete events.
 type eventReader struct {
 	src   io.Reader
@@ -48,6 +52,9 @@
 // returns the bytes after the last complete event, if any, with the error.
 func (r *eventReader) next() (streamEvents, error) {
 	for {
+		if at := indexOfHead(r.buf); at >= 0 {
+			r.buf, r.err = r.buf[:at], errHeadInStream
+		}
 		if end := lastEventEnd(r.buf); end > 0 {
 			e := newStreamEvents(bytes.Clone(r.buf[:end]))
 			r.buf = append(r.buf[:0], r.buf[end:]...)
@@ -65,6 +72,18 @@
 	}
 }
 
+// indexOfHead returns the offset of the first line that begins a response; -1 if there is
+// none. No line of an event begins so.
+func indexOfHead(b []byte) int {
+	if bytes.HasPrefix(b, lineOfHead[1:]) {
+		return 0
+	}
+	if i := bytes.Index(b, lineOfHead); i >= 0 {
+		return i + 1
+	}
+	return -1
+}
+
 // checkProgress returns errNoProgress after too many bytes without data.
 func (r *eventReader) checkProgress(e streamEvents) error {
 	if e.count > 0 {
