canary: A version is completed once it is shown to be good, not when its time is up

Cause: a version that nobody had found bad was completed at the end of its time, and a completed one can't be taken back, since the platform stops the old version at once. With few requests within the exposure, or failures that both versions have, nothing was ever found. Class: no evidence of harm taken for evidence of no harm. Where else: the same rule held for the pace of calls.

Change: outcomes are weighed by a Bayes factor for each route, and for the pace of calls. Thresholds on shares of failures are gone.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -76,6 +76,9 @@
 	startedAt             time.Time // when any VM first saw the roll-out, on this VM's clock
 	rampStart             float64   // a share of the duration; see planRamp
 	judgedBad             bool
+	decisiveSince         time.Time // when the new version had decisiveBad bad outcomes too many
+	hold                  *Hold     // nil until it is held
+	holdReported          bool
 	countersByIncarnation map[string]Counters
 	oldBuckets            bucketSet
 	cursor                int // index of the incarnation whose counters were reported last
--- a/internal/canary/report.go
+++ b/internal/canary/report.go
@@ -59,7 +59,7 @@
 func (c *Core) IsUrgent(now time.Time) bool {
 	for _, r := range c.rollOuts {
 		progress := r.progress(now)
-		if r.rollOut.Phase == InProgress && (now.Sub(r.startedAt) < urgentPeriod || progress > planFrom && progress < 1) {
+		if r.rollOut.Phase == InProgress && (now.Sub(r.startedAt) < urgentPeriod || progress > planFrom && r.overdue(now) < maxHold) {
 			return true
 		}
 	}
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -22,12 +22,11 @@
 	// multiple of the old version's, or more than halfway between the old version's
 	// and 1 if that is less.
 	minBadShareRatio = 3.0
-	// maxChance is the probability above which as many bad outcomes on the new version
-	// are put down to chance; maxSlowCallChance is that for slow calls.
-	maxChance         = 0.003
+	// maxSlowCallChance is the probability above which as many slow calls on the new
+	// version are put down to chance; maxChanceAtLoad is that for failures at a load, of
+	// which a trial shows few.
 	maxSlowCallChance = 0.01
-	// maxChanceAtLoad is that for failures at a load, of which a trial shows few.
-	maxChanceAtLoad = 0.005
+	maxChanceAtLoad   = 0.005
 )
 
 // pooledTallies sums the counters of all VMs, by route and in total.
@@ -119,21 +118,28 @@
 }
 
 // isJudgedBad reports whether the new version is judged as bad by the tallies of a
-// key. Failures and slow calls must also be more than chance brings, because some
-// requests fail, or need much work, on every version.
+// key. Slow calls, and failures at a load, must also be more than chance brings,
+// because some requests fail, or need much work, on every version.
 func isJudgedBad(key string, newTally, oldTally Tally) bool {
+	if !strings.HasPrefix(key, paceKeyPrefix) {
+		return newTally.Bad >= minBadOutcomes && showsHarm(newTally, oldTally, shownBadFactor)
+	}
 	if !isWorse(newTally, oldTally, minBadFor(key, newTally)) {
 		return false
 	}
 	switch {
-	case isStreamPaceKey(key):
-		return true
 	case strings.HasPrefix(key, callPaceKeyPrefix):
 		return newTally.chance(oldTally) < maxSlowCallChance
 	case strings.HasPrefix(key, failuresAtLoadPrefix):
 		return newTally.chance(oldTally) < maxChanceAtLoad
 	}
-	return newTally.chance(oldTally) < maxChance
+	return true
+}
+
+// isJudgedBadAfterDeadline is isJudgedBad after the deadline, when the versions no longer
+// have the same load, and many looks would find some chance in the end.
+func isJudgedBadAfterDeadline(key string, newTally, oldTally Tally) bool {
+	return !isStreamPaceKey(key) && newTally.Bad >= minBadFor(key, newTally) && showsHarm(newTally, oldTally, lateBadFactor)
 }
 
 func isStreamPaceKey(key string) bool {
@@ -180,22 +186,31 @@
 		newTallies, oldTallies, running := r.pooledTallies()
 		v := Verdict{RollOut: r.rollOut, New: newTallies[allRoutes], Old: oldTallies[allRoutes], Progress: r.progress(now)}
 		v.NewLoad, v.OldLoad = r.pooledLoads()
+		judge := isJudgedBad
+		if r.overdue(now) > 0 {
+			judge = isJudgedBadAfterDeadline
+		}
 		for route := range newTallies {
 			old := oldTallies[route]
 			if route == allRoutes {
 				old = withMixOf(newTallies, oldTallies)
 			}
-			if isJudgedBad(route, newTallies[route], old) {
+			if judge(route, newTallies[route], old) {
 				r.judgedBad = true
 				v.Route = route
 			}
 		}
+		weighed := weigh(newTallies, oldTallies)
+		if !r.judgedBad && r.isLikelyBad(now, weighed) {
+			r.judgedBad, v.Route = true, weighed.worst
+		}
 		switch {
 		case r.judgedBad:
 			v.Phase = Reverted
-		case r.canComplete(now, running):
+		case r.canComplete(now, running) && (weighed.showsGood() || r.isOver(now)):
 			v.Phase = Completed
 		default:
+			r.recordHold(now, running, weighed)
 			continue
 		}
 		out = append(out, v)
@@ -203,9 +218,14 @@
 	return out
 }
 
+// overdue returns the time since the deadline; negative before it.
+func (r *rollOutState) overdue(now time.Time) time.Duration {
+	return now.Sub(r.startedAt) - r.rollOut.Duration
+}
+
 func (r *rollOutState) canComplete(now time.Time, oldRunning int) bool {
 	progress := r.progress(now)
-	if progress < max(r.completionAfter(earliestCompletion), minCompletion) {
+	if progress < max(r.completionAfter(earliestCompletion), minCompletion) || now.Sub(r.startedAt) < minAge {
 		return false
 	}
 	return oldRunning == 0 || progress >= max(r.completionAfter(forcedCompletion), minForcedCompletion)
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -315,7 +315,12 @@
 func (f *Follower) writeDueVerdicts(ctx context.Context, now time.Time) {
 	f.proxy.mu.Lock()
 	verdicts := f.proxy.canary.Tick(now)
+	holds := f.proxy.canary.NewHolds()
 	f.proxy.mu.Unlock()
+	for _, h := range holds {
+		klog.InfoS("canary: the roll-out is held, because the version is not shown to be as good as the old one", "code", int(result.RollOutHeld),
+			"service", h.RollOut.Service, "target", h.RollOut.NewVersion, "duration", h.RollOut.Duration, "route", h.Key, "harmFactor", h.Factor)
+	}
 	if len(verdicts) == 0 {
 		clear(f.verdictDueAt)
 		return
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -114,6 +114,9 @@
 	PlatformUnusable Code = 3009
 	// PlatformEntryInvalid: one object of a response cannot be decoded.
 	PlatformEntryInvalid Code = 3010
+	// RollOutHeld: the roll-out is not completed in time, because its version is not shown
+	// to be as good as the old one.
+	RollOutHeld Code = 3011
 )
 
 // Codes of calls between the fleet's processes (3100 to 3199).
@@ -200,6 +203,7 @@
 	RollOutTooShort:      {"rollout_too_short", http.StatusBadRequest, NotRun, 0},
 	PlatformUnusable:     {"platform_unusable", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
 	PlatformEntryInvalid: {"platform_entry_invalid", http.StatusBadRequest, NotRun, 0},
+	RollOutHeld:          {"rollout_held", http.StatusAccepted, NotRun, 0},
 
 	PeerUnreachable:    {"peer_unreachable", http.StatusServiceUnavailable, Unknown, time.Second},
 	PeerRefused:        {"peer_refused", http.StatusForbidden, NotRun, 0},
