canary: A reverted version is reported for some time after the verdict

What callers would see: a VM that judged a version reported that to the others only while the roll-out was in progress, so from its own write on, some milliseconds later, they depended on their watch of the store. One that could not read it, and in touch again, used the bad version on (EXPOSURE).

Cause: the report followed the roll-out's phase, not who may still need it. Change: a reverted roll-out is reported for 10 s more, without counters.

Evidence: canary.TestRevertedVersionIsReportedAfterTheVerdict failed before.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -76,6 +76,7 @@
 	startedAt             time.Time // when any VM first saw the roll-out, on this VM's clock
 	rampStart             float64   // a share of the duration; see planRamp
 	judgedBad             bool
+	revertedAt            time.Time // when the phase became Reverted, if it is
 	decisiveSince         time.Time // when the new version had decisiveBad bad outcomes too many
 	hold                  *Hold     // nil until it is held
 	holdReported          bool
@@ -129,9 +130,12 @@
 			return false
 		}
 		c.recordReplaced(r)
-		c.rollOuts[o.Service] = &rollOutState{rollOut: o, storedPhase: o.Phase, startedAt: now, rampStart: trialEnd, countersByIncarnation: map[string]Counters{c.incarnation: newCounters()}}
+		c.rollOuts[o.Service] = &rollOutState{rollOut: o, storedPhase: o.Phase, startedAt: now, revertedAt: now, rampStart: trialEnd, countersByIncarnation: map[string]Counters{c.incarnation: newCounters()}}
 		return true
 	}
+	if r.rollOut.Phase != Reverted {
+		r.revertedAt = now
+	}
 	phase := max(r.rollOut.Phase, o.Phase) // a reported phase is final
 	r.rollOut = o
 	r.rollOut.Phase = phase
--- a/internal/canary/report.go
+++ b/internal/canary/report.go
@@ -66,11 +66,22 @@
 	return false
 }
 
-// Reports returns this VM's state of the roll-outs in progress, for other VMs.
+// revertReportTime is how long a VM reports a roll-out that it knows to be reverted. Other
+// VMs may not be able to read the verdict from the store.
+const revertReportTime = 10 * time.Second
+
+// Reports returns this VM's state of the roll-outs in progress, and of those that were
+// reverted lately, for other VMs.
 func (c *Core) Reports(now time.Time) []Report {
 	var out []Report
 	for _, r := range c.rollOuts {
 		if r.rollOut.Phase != InProgress {
+			if r.rollOut.Phase == Reverted && now.Sub(r.revertedAt) < revertReportTime {
+				out = append(out, Report{
+					Service: r.rollOut.Service, NewVersion: r.rollOut.NewVersion, AgeMS: now.Sub(r.startedAt).Milliseconds(),
+					JudgedBad: true, RampStart: r.rampStart, own: c.incarnation,
+				})
+			}
 			continue
 		}
 		out = append(out, Report{
