edge: A stream that may not be repeated is not asked of a larger model

Cause: the switch to a larger model looked at the number of runs only. Class: a path of its own to another run, beside the function that decides on retries. Change: the switch asks that function, as the replacement of a failure does (mayRunAgain).

The sentence that an answer may be dropped and requested again elsewhere speaks of routes with sizes; the rule, 'a request that isn't idempotent runs more than once', has no exception for them.

The soak has such a route now.

--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -80,14 +80,19 @@
 }
 
 // mayRetryFailure reports whether another attempt may replace an error response
-// of the upstream itself. The attempt that got this response is not counted in
-// x.runs yet.
+// of the upstream itself.
 func (x *requestState) mayRetryFailure() bool {
+	return x.mayRunAgain() && x.proxy.budget.Remaining(time.Now(), x.req.Service.Name) >= 1
+}
+
+// mayRunAgain reports whether the request may run once more although the current
+// attempt, which is not counted in x.runs yet, has run.
+func (x *requestState) mayRunAgain() bool {
 	return retry.Decide(retry.Facts{
 		Idempotent: x.req.Route.RetryPolicy == routing.Idempotent,
 		Runs:       x.runs + 1, MaxRuns: x.req.Route.MaxRuns, Attempts: len(x.tried),
 		TimeLeft: time.Until(x.req.Deadline), CallerCanceled: x.ctx.Err() != nil,
-	}) == retry.Again && x.proxy.budget.Remaining(time.Now(), x.req.Service.Name) >= 1
+	}) == retry.Again
 }
 
 // sendFallback forwards the stored error response. It returns false if there is
--- a/internal/edge/models.go
+++ b/internal/edge/models.go
@@ -48,9 +48,8 @@
 // response must then be dropped. No part of that response may have been sent to the
 // caller yet.
 func (p *modelPlan) tryEscalate(x *requestState, a *attempt) bool {
-	const currentRun = 1 // the run whose response would be dropped
 	p.observe(x, a)
-	if len(p.larger) == 0 || x.runs+currentRun >= x.req.Route.MaxRuns {
+	if len(p.larger) == 0 || !x.mayRunAgain() {
 		return false
 	}
 	now := time.Now()
--- a/internal/fake/sitesoak/callers.go
+++ b/internal/fake/sitesoak/callers.go
@@ -81,8 +81,10 @@
 
 // send sends one request and reports whether the connection can be reused.
 func (h *harness) send(ctx context.Context, t *http.Transport, rng *rand.Rand, v *entryVM, id string) bool {
-	// The route "once" has the type unsafe, "look" safe and "chat" streaming.
-	route := []string{"once", "look", "chat"}[rng.IntN(3)]
+	// The route "once" has the type unsafe, "look" safe, "chat" streaming, and "draft"
+	// streaming that may not be resumed.
+	route := []string{"once", "look", "chat", "draft"}[rng.IntN(4)]
+	isStream := route == "chat" || route == "draft"
 	cancels := rng.IntN(20) == 0
 	r := &request{cancels: cancels, id: id, path: "/" + route + "/x?n=" + id, body: "body of " + id, key: h.currentKey(), vm: v.name, sentAt: time.Now()}
 	if route == "look" {
@@ -106,7 +108,7 @@
 	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("X-Deadline-Ms", "6000")
 	req.Header.Set("Api-Key", r.key)
-	if route == "chat" {
+	if isStream {
 		req.Header.Set("X-Model", "*")
 		req.Header.Set("X-Token-Usage", "1460,80")
 		req.Header.Set("X-Prefix-Hash", fmt.Sprintf("%x:800,%s:660", rng.IntN(20), strings.ReplaceAll(id, "-", "")))
@@ -139,14 +141,14 @@
 	r.answeredAt, r.status, r.cut = now, resp.StatusCode, err != nil
 	h.mu.Unlock()
 	signature := resp.Header.Get("X-Response-Signature")
-	timeout := map[string]time.Duration{"once": 1500, "look": 1500, "chat": 5000}[route] * time.Millisecond
+	timeout := map[string]time.Duration{"once": 1500, "look": 1500, "chat": 5000, "draft": 5000}[route] * time.Millisecond
 	if faultFree && v.faultFreeFor(minFaultFreeTime) && now.Sub(r.sentAt) > timeout+maxTimeoutOverrun {
 		h.recordViolation("%s on %s: response after %v, the timeout of the route is %v", r.id, v.name, now.Sub(r.sentAt), timeout)
 	}
 	switch {
 	case err != nil:
 		return // no guarantee covers a response that is visibly truncated
-	case resp.StatusCode == http.StatusOK && route == "chat":
+	case resp.StatusCode == http.StatusOK && (route == "chat" || route == "draft"):
 		h.checkStream(r, signature, body)
 	case resp.StatusCode == http.StatusOK || signature != "":
 		id, _, _ := strings.Cut(signature, ".")
@@ -211,7 +213,7 @@
 		if r.inStop && !r.cancels && !r.probe && (r.status == 0 || r.cut) {
 			h.recordViolation("%s on %s: cut in a planned stop, sent at %v", id, r.vm, r.sentAt)
 		}
-		if !strings.HasPrefix(r.path, "/once/") {
+		if !strings.HasPrefix(r.path, "/once/") && !strings.HasPrefix(r.path, "/draft/") {
 			continue
 		}
 		if n > 1 {
--- a/internal/fake/sitesoak/harness.go
+++ b/internal/fake/sitesoak/harness.go
@@ -246,6 +246,7 @@
 	h.configVersion += 2
 	routes := []map[string]any{
 		{"name": "chat", "host": host, "pathPrefix": "/chat/", "routeType": "streaming", "timeoutMs": 5000, "targetLatencyMs": 400, "targetGapMs": 300, "service": engineService, "maxAttempts": 3, "resumable": true, "sticky": true, "sizes": []string{"small", "large"}},
+		{"name": "draft", "host": host, "pathPrefix": "/draft/", "routeType": "streaming", "timeoutMs": 5000, "targetLatencyMs": 400, "targetGapMs": 300, "service": engineService, "maxAttempts": 3, "resumable": false, "sticky": true, "sizes": []string{"small", "large"}},
 		{"name": "once", "host": host, "pathPrefix": "/once/", "routeType": "unsafe", "timeoutMs": 1500, "targetLatencyMs": 150, "service": orderService, "maxAttempts": 3},
 		{"name": "look", "host": host, "pathPrefix": "/look/", "routeType": "safe", "timeoutMs": 1500, "targetLatencyMs": 150, "service": orderService, "maxAttempts": 3},
 	}
