edge: A VM bounds the bodies that it holds

Cause: each body was read whole, whatever the VM held already. Class: a limit for one request, none for all of them.

A body without room is refused before it is read (1113, 503, not run, come back in 1 s; another VM is tried if it was forwarded).

Not covered: answers that are held whole, and buffers of connections.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -110,6 +110,7 @@
 		"pier_blocked_contents":     {"Contents of requests that crash upstreams and are not sent.", s.blockedContents},
 		"pier_reads_store":          {"1 while this VM reads the store itself.", f.readsStoreGauge},
 		"pier_store_age_seconds":    {"Age of the latest proof that nothing of the store is missing.", f.storeAgeGauge},
+		"pier_body_bytes":           {"Bytes of requests' bodies that are held.", s.bodies.inUse},
 		"pier_limited_upstreams":    {"Upstreams that name a limit for all VMs together.", func() float64 { return float64(s.fleet.LimitedUpstreams()) }},
 		"pier_brittle_services":     {"Services whose upstreams crash if they have to reject too many requests.", func() float64 { return float64(s.fleet.BrittleServices(time.Now())) }},
 	}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -37,6 +37,8 @@
 	// configVersion is the version of the configuration that admitted or refused the
 	// request; zero if none was loaded.
 	configVersion uint64
+	// heldBytes is the room that the body has.
+	heldBytes int64
 	// counted is true once the request is counted for the retry budget, by this VM or
 	// by the one that forwarded it.
 	counted bool
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -45,6 +43,7 @@
 	isolation    isolation
 	forwarder    *forwarder
 	rooms        *roomQueue
+	bodies       *byteBudget
 	undecided    undecidedCrashes
 
 	mu     sync.Mutex // guards canary, poison and gains
@@ -67,6 +66,7 @@
 // serve serves a request of a caller or one that another VM forwards.
 func (x *requestState) serve(r *http.Request) {
 	s := x.proxy
+	defer x.holdBytes(0)
 	if s.stop.Load() != nil || s.isolation.isIsolated() {
 		x.w.Header().Set("Connection", "close")
 	}
@@ -165,24 +165,6 @@
 	}
 }
 
-// readBody reads the body completely, so that the request can be retried and
-// net/http can detect that the caller disconnects.
-func (x *requestState) readBody(r *http.Request, maxBytes int64) *result.Error {
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, maxBytes))
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLong):
-		return result.New(result.BodyTooLarge, "the body is longer than %d bytes", maxBytes)
-	case err != nil:
-		return result.New(result.BadRequest, "the body could not be read: %v", err)
-	}
-	x.req.Body = body
-	return nil
-}
-
 // finishRequest writes the request's last log line and updates the metrics.
 func (x *requestState) finishRequest() {
 	took := time.Since(x.req.ReceivedAt)
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -33,6 +33,7 @@
 	grace     time.Duration
 	// bounds may change the bounds of the VMs that are started afterwards.
 	bounds  func(*vm.Bounds)
+	limits  vm.Limits
 	metrics string                   // address; empty for none
 	dial    map[string]edge.DialFunc // by VM; TCP for the others
 }
@@ -202,7 +203,7 @@
 			RetryRatio: 0.9, RetrySlack: 640, RetryWindow: 10 * time.Second, ExposureShare: 0.15, ColdFactor: 1.5, ColdSlack: 5,
 			SessionTTL: 5 * time.Second,
 		},
-		Store: vm.Store{Address: s.address},
+		Store: vm.Store{Address: s.address}, Limits: s.limits,
 	}
 	if s.bounds != nil {
 		s.bounds(&set.Bounds)
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -52,6 +52,8 @@
 	// BlockedRecordsInvalid: the records of blocked content in the object store cannot be
 	// decoded.
 	BlockedRecordsInvalid Code = 1112
+	// NoBodyRoom: the VM holds as many bytes of bodies as its memory allows.
+	NoBodyRoom Code = 1113
 )
 
 // Codes of claims and delivery (1200 to 1299).
@@ -170,6 +172,7 @@
 	ContentBlocked:        {"content_blocked", http.StatusServiceUnavailable, NotRun, time.Minute},
 	RateLimitInvalid:      {"rate_limit_invalid", http.StatusServiceUnavailable, NotRun, 0},
 	BlockedRecordsInvalid: {"blocked_records_invalid", http.StatusServiceUnavailable, NotRun, 0},
+	NoBodyRoom:            {"no_body_room", http.StatusServiceUnavailable, NotRun, time.Second},
 
 	ClaimUnavailable: {"claim_unavailable", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
 	RunUnknown:       {"run_unknown", http.StatusConflict, Unknown, 0},
