poison: A deadly part is found at any position of a prompt

Cause: only the first 16 shared parts of a prompt were looked at. Class: a limit of what is looked at, below what callers may send.

Change: 640 parts, more than a header of 8 KiB holds; what is kept of crashes grows with it (4,096 contents, a part of the least suspected is dropped at once when full). The keys of a request are allocated once.

Evidence: poison.TestDeadlyPartAtAnyPosition (600 parts, six positions) failed for positions from 16 on. Longer prompts than 640 shared parts remain.

--- a/internal/poison/judge.go
+++ b/internal/poison/judge.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -140,22 +141,28 @@
 	}
 }
 
-// evict makes room for another suspect: it removes one with the fewest crashes, of
-// these the one with the oldest last crash.
+// evict makes room for other suspects: it removes some with the fewest crashes, of
+// these the ones with the oldest last crash.
 func (c *Core) evict(now time.Time) {
 	c.expire(now)
 	if len(c.suspects) < maxSuspects {
 		return
 	}
-	var victim Key
-	var found *suspect
+	type candidate struct {
+		key       Key
+		crashes   int
+		lastCrash time.Time
+	}
+	candidates := make([]candidate, 0, len(c.suspects))
 	for k, s := range c.suspects {
-		if found == nil || s.unexplained(nil) < found.unexplained(nil) ||
-			s.unexplained(nil) == found.unexplained(nil) && s.lastCrash().Before(found.lastCrash()) {
-			victim, found = k, s
-		}
+		candidates = append(candidates, candidate{k, s.unexplained(nil), s.lastCrash()})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.crashes, b.crashes), a.lastCrash.Compare(b.lastCrash))
+	})
+	for _, victim := range candidates[:max(len(candidates)/evictedShare, 1)] {
+		delete(c.suspects, victim.key)
 	}
-	delete(c.suspects, victim)
 }
 
 // Verdict is a change of whether some content is blocked.
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -33,12 +33,16 @@
 	// further crash adds the same time.
 	minBlockTime = time.Minute
 	// maxSuspects and maxMarks limit what is kept: contents, and crashes of each.
-	maxSuspects = 512
+	maxSuspects = 4096
 	maxMarks    = 8
-	// maxParts limits the parts of one prompt that a crash marks.
-	maxParts = 16
+	// evictedShare is the share of the suspects, one in so many, that is dropped at once
+	// when there are too many.
+	evictedShare = 8
+	// maxParts limits the parts of one prompt that a crash marks, above what a header of
+	// 8 KiB holds.
+	maxParts = 640
 	// maxCompletedParts limits the parts whose last completion is kept.
-	maxCompletedParts = 1024
+	maxCompletedParts = 4096
 )
 
 // Key identifies content that requests have in common. The lowest bit is set for a
@@ -58,8 +62,9 @@
 	d.Reset()
 	_, _ = d.WriteString(target + "\x00" + team + "\x00") // writing to a hash never fails
 	_, _ = d.Write(body)
-	keys := []Key{Key(d.Sum64() | wholeBit)}
-	for _, part := range sharedParts[:min(len(sharedParts), maxParts)] {
+	parts := sharedParts[:min(len(sharedParts), maxParts)]
+	keys := append(make([]Key, 0, 1+len(parts)), Key(d.Sum64()|wholeBit))
+	for _, part := range parts {
 		keys = append(keys, Key(xxhash.Sum64String(part)&^wholeBit))
 	}
 	return keys
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -34,7 +34,7 @@
 	assert.Equal(t, a[1], b[1])
 	assert.NotEqual(t, a[2], b[2])
 	assert.Equal(t, a, KeysOf("/a", "team", []byte("x"), []string{"p", "q"}))
-	assert.Len(t, KeysOf("/a", "team", nil, make([]string, 100)), 1+maxParts)
+	assert.Len(t, KeysOf("/a", "team", nil, make([]string, 1000)), 1+maxParts)
 }
 
 const (
@@ -360,3 +360,37 @@
 	assert.NoError(t, err, "fields of later builds are passed over")
 	assert.Equal(t, 1, n)
 }
+
+// Guards against a deadly part that is not found because many parts stand before it.
+func TestDeadlyPartAtAnyPosition(t *testing.T) {
+	const parts = 600
+	for _, position := range []int{0, 15, 16, 17, 300, parts - 1} {
+		t.Run(fmt.Sprint(position), func(t *testing.T) {
+			c := New("vm")
+			prompt := func(n int, deadly bool) []Key {
+				list := make([]string, parts)
+				for i := range list {
+					list[i] = fmt.Sprint("sound-", i)
+				}
+				if deadly {
+					list[position] = "deadly"
+				}
+				return KeysOf(fmt.Sprint("/", n), "team", nil, list)
+			}
+			for i := range minCrashes {
+				crash(c, 1000*i+100, 1000*i+50, fmt.Sprint(i), prompt(i, true))
+				c.Completed(at(1000*i+500), prompt(100+i, false))
+			}
+			assert.True(t, blocked(c, 4000, prompt(50, true)...))
+			assert.False(t, blocked(c, 4000, prompt(51, false)...))
+		})
+	}
+}
+
+func BenchmarkKeysOf(b *testing.B) {
+	parts := []string{"5c1e07a2", "91bd3f06", "e4402b7d", "0a12bc34"}
+	b.ReportAllocs()
+	for b.Loop() {
+		KeysOf("/lohu930/2f", "team", nil, parts)
+	}
+}
