fleet: What an upstream asked for outlives its entry

Cause: the pause was a field of the entry's member. Class: what is known of an upstream kept with something that comes and goes. Change: a removed or replaced member's pause and limit are kept for its incarnation.

Evidence: fleet.TestPauseOutlivesTheEntry and TestLimitOutlivesTheEntry failed before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -80,6 +80,7 @@
 	// graceUntil is the end of the period in which removals are delayed.
 	graceUntil time.Time
 	departures departures
+	wishes     map[string]wishes          // by upstream
 	brittle    map[string]*brittleService // by service
 	// knowsBrittle is whether brittle is not empty. It is read without the lock.
 	knowsBrittle atomic.Bool
@@ -95,7 +96,7 @@
 		cfg: cfg, members: make(map[string]*member), pools: make(map[string]*servicePool),
 		rng:       rand.New(rand.NewPCG(xxhash.Sum64String(cfg.VM), 0)), //nolint:gosec // draws upstreams
 		withdrawn: make(map[string]bool), zoneHealth: make(map[string]*zoneHealth), vmReports: make(map[string]*vmReport), coldRates: make(map[string]float64), msPerToken: make(map[string]float64),
-		departures: newDepartures(), brittle: make(map[string]*brittleService),
+		departures: newDepartures(), wishes: make(map[string]wishes), brittle: make(map[string]*brittleService),
 	}
 }
 
@@ -195,7 +196,12 @@
 		f.departures.recordLeaving(now, leavingRecord{Departure: Departure{Upstream: u.ID, Incarnation: u.Incarnation}, at: now})
 	}
 	if old == nil || old.Incarnation != u.Incarnation || old.Address != u.Address {
-		f.members[u.ID] = newMember(u, now)
+		if old != nil {
+			f.keepWishes(now, old)
+		}
+		m := newMember(u, now)
+		f.members[u.ID] = m
+		f.restoreWishes(now, m)
 		return
 	}
 	old.Upstream = u
@@ -214,8 +220,14 @@
 		}
 		return
 	}
+	f.drop(now, m)
+}
+
+// drop removes a member for good.
+func (f *Fleet) drop(now time.Time, m *member) {
 	f.departures.recordRemoved(now, m.Upstream)
-	delete(f.members, id)
+	f.keepWishes(now, m)
+	delete(f.members, m.ID)
 }
 
 // Expire removes the upstreams whose entries were not restored within the grace
@@ -224,10 +236,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changed := false
-	for id, m := range f.members {
+	for _, m := range f.members {
 		if !m.removeAt.IsZero() && !now.Before(m.removeAt) {
-			f.departures.recordRemoved(now, m.Upstream)
-			delete(f.members, id)
+			f.drop(now, m)
 			changed = true
 		}
 	}
