fleet: A lowered limit ends the turns of the higher one

Cause: turns that a VM had kept at the old rate were used on. Change: they end when the limit is lowered.

Evidence: fleet.TestLoweredLimitEndsTurnsOfTheHigherOne failed before.

--- a/internal/fleet/ratelimit.go
+++ b/internal/fleet/ratelimit.go
@@ -70,8 +70,8 @@
 		return c
 	}
 	l.perSecond, l.changedAt = perSecond, now
-	if c.Before == 0 {
-		l.turns = turns{}
+	if c.Before == 0 || perSecond < c.Before {
+		l.turns = turns{} // those of a higher rate exceed the limit
 	}
 	f.countLimited()
 	return c
--- a/internal/fleet/wishes_test.go
+++ b/internal/fleet/wishes_test.go
@@ -52,3 +52,28 @@
 	leaveAndReturn(f, now, f.members["u1"].Upstream, func(*Upstream) {})
 	assert.Equal(t, 1, f.LimitedUpstreams())
 }
+
+// Guards against turns of a higher limit that are used after the limit was lowered.
+func TestLoweredLimitEndsTurnsOfTheHigherOne(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	f := limitedFleet(now)
+	now = now.Add(time.Minute)
+	f.RecordLimit(now, pickOf(f, "u1"), 400)
+	f.RecordLimit(now, pickOf(f, "u2"), 400)
+	_, _ = f.Pick(now, anyVersion())
+	now = now.Add(2 * time.Second) // turns are kept meanwhile
+	_, _ = f.Pick(now, anyVersion())
+	f.RecordLimit(now, pickOf(f, "u1"), 1)
+	f.RecordLimit(now, pickOf(f, "u2"), 1)
+	sent := 0
+	for i := range 80 {
+		at := now.Add(time.Duration(i) * 50 * time.Millisecond)
+		for range 20 {
+			if p, reason := f.Pick(at, anyVersion()); reason == Picked {
+				sent++
+				f.Done(at, p, OutcomeSuccess)
+			}
+		}
+	}
+	assert.LessOrEqual(t, sent, 2*5, "of two upstreams in 4 s, by one of four VMs")
+}
