edge: Blocked content is read soon after an outage of the store

Cause: the backoff of calls for the records grows to 10 s, also before they were read once. Change: until then it grows to 0.6 s.

Evidence: edge.TestRecordsAreReadSoonAfterAnOutage; the retry was 10 s before.

--- a/internal/edge/blockedkeeper_test.go
+++ b/internal/edge/blockedkeeper_test.go
@@ -106,3 +106,25 @@
 	second.scheduleRetry(now, store.err)
 	assert.Equal(t, 2*minBlockedRetry, second.retryAt.Sub(now))
 }
+
+// Guards against blocked content that is not known for seconds after the store is back,
+// because the start of the VM fell into its outage.
+func TestRecordsAreReadSoonAfterAnOutage(t *testing.T) {
+	store := &memoryBlockedStore{err: result.New(result.PlatformUnavailable, "down")}
+	k := newKeeper(store, "vm-1")
+	now := time.Now()
+	for range 8 {
+		_, err := k.load(context.Background())
+		assert.Error(t, err)
+		k.scheduleRetry(now, err)
+	}
+	assert.LessOrEqual(t, k.retryAt.Sub(now), maxRestoreRetry)
+	store.err = nil
+	_, err := k.load(context.Background())
+	require.NoError(t, err)
+	k.scheduleRetry(now, err)
+	for range 8 {
+		k.scheduleRetry(now, result.New(result.PlatformUnavailable, "down"))
+	}
+	assert.Equal(t, maxBlockedRetry, k.retryAt.Sub(now), "calls are billed")
+}
--- a/internal/edge/blockedstore.go
+++ b/internal/edge/blockedstore.go
@@ -30,9 +30,11 @@
 	blockedCallTimeout = time.Second
 	// blockedTickInterval is how often a VM compares what it blocks with the records.
 	blockedTickInterval = 200 * time.Millisecond
-	// minBlockedRetry and maxBlockedRetry limit the time between calls that fail.
+	// minBlockedRetry and maxBlockedRetry limit the time between calls that fail, and
+	// maxRestoreRetry until the records have been read once: upstreams crash meanwhile.
 	minBlockedRetry = 300 * time.Millisecond
 	maxBlockedRetry = 10 * time.Second
+	maxRestoreRetry = 600 * time.Millisecond
 	// minBlockedWriteInterval is the minimum time between writes of one VM.
 	minBlockedWriteInterval = 2 * time.Second
 	// recheckInterval is how often the first writer reads the records again while it blocks
@@ -97,7 +99,11 @@
 		k.retry = 0
 		return
 	}
-	k.retry = min(max(2*k.retry, minBlockedRetry), maxBlockedRetry)
+	longest := maxBlockedRetry
+	if k.readAt.IsZero() {
+		longest = maxRestoreRetry
+	}
+	k.retry = min(max(2*k.retry, minBlockedRetry), longest)
 	k.retryAt = now.Add(k.retry)
 	klog.InfoS("poison: the records of blocked content are not up to date", "retryIn", k.retry, "err", logs.Err(err))
 }
