edge: An acknowledged verdict does not put back an older roll-out

What callers would see: if operators replace a roll-out while a VM writes its verdict on the one before, that VM applies the older one again after the store's answer.

Cause: the answer was applied without a look at what had arrived meanwhile. Change: it is applied only if the object still has the revision that the verdict is on.

Evidence: edge.TestAcknowledgedVerdictKeepsANewerRollOut failed before.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -367,6 +367,8 @@
 	updated := v.RollOut
 	updated.Phase = v.Phase
 	f.proxy.mu.Lock()
-	_ = f.proxy.canary.SetRollOut(time.Now(), updated) // a verdict is on a roll-out that is applied
-	f.proxy.mu.Unlock()
+	defer f.proxy.mu.Unlock()
+	if f.rollOuts[name].revision == revision { // otherwise the store has delivered something newer
+		_ = f.proxy.canary.SetRollOut(time.Now(), updated) // a verdict is on a roll-out that is applied
+	}
 }
