edge: A model that an upstream does not have takes no upstream from use

What callers would see: a caller that names a model itself, on a route with sizes, gets 421 from every replica, and each of them was out of use for that VM from then on.

Cause: any 421 counted as another upstream's at the address. Change: one that names the upstream that was meant is its own refusal.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -192,6 +192,8 @@
 		return fleet.OutcomeNeutral // the pause alone keeps requests away
 	case a.attemptStatus == exchange.Rejected:
 		return fleet.OutcomeRejected
+	case a.attemptStatus == exchange.Misdirected && a.head.Responder == a.pick.ID:
+		return fleet.OutcomeNeutral // the upstream itself refuses the model or the version
 	case a.attemptStatus == exchange.Misdirected:
 		return fleet.OutcomeMisdirected
 	case a.err != nil || a.head == nil || a.head.Status >= http.StatusInternalServerError || !a.head.Usable():
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -123,6 +123,8 @@
 	// Header holds the end-to-end headers for the caller.
 	Header        http.Header
 	AttemptStatus AttemptStatus
+	// Responder is the ID of the upstream that responded; empty if it does not say.
+	Responder string
 	// HasSignature is true if the response has the upstream's signature header. The
 	// header's value is not verified.
 	HasSignature bool
--- a/internal/fake/platformside/replica.go
+++ b/internal/fake/platformside/replica.go
@@ -50,6 +50,8 @@
 	// DeadlyBody is a request body on which the replica crashes before it responds;
 	// empty for none.
 	DeadlyBody string
+	// UnknownModel is a model that the replica does not have: it responds with 421.
+	UnknownModel string
 	// Limit is added to each response as Server-Limit; empty for none.
 	Limit string
 	// Pause is the time for which a stream pauses after the second event of the
@@ -182,6 +184,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if f.UnknownModel != "" && h.Get("X-Model") == f.UnknownModel {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if f.Reject {
 		w.Header().Set("X-Not-Executed", "1")
 		if f.RetryAfter != "" {
