--- a/internal/catalog/watcher_test.go
+++ b/internal/catalog/watcher_test.go
@@ -327,6 +327,9 @@
 				}
 				assert.Zero(t, shortWait.recoveries)
 				assert.LessOrEqual(t, store.count("list "+string(kind)), 4)
+				if kind != Upstreams {
+					assert.LessOrEqual(t, store.count("watch "+string(Upstreams)), 3, "the prober is not restarted")
+				}
 			})
 		})
 	}
--- a/internal/edge/bytebudget_test.go
+++ b/internal/edge/bytebudget_test.go
@@ -16,12 +16,12 @@
 func TestByteBudget(t *testing.T) {
 	b := newByteBudget(40) // room for 10 MiB
 	large := 0
-	for b.grow(0, 1<<20) {
+	for large < 1000 && b.grow(0, 1<<20) {
 		large++
 	}
 	assert.Equal(t, 7, large)
 	small := 0
-	for b.grow(0, 32<<10) {
+	for small < 1000 && b.grow(0, 32<<10) {
 		small++
 	}
 	assert.Equal(t, 3<<20/(32<<10), small)
