--- a/internal/fake/sitesoak/configcheck.go
+++ b/internal/fake/sitesoak/configcheck.go
@@ -76,30 +76,43 @@
 	}
 }
 
-// probe sends a request on the route that only one version has.
+// probe sends a request on the route that only one version has, and checks the response if
+// neither the VM nor the store had recent faults.
 func (p *configProber) probe(c confirmedConfig) {
 	if n := p.vm.incarnation(); n != p.incarnation {
 		p.seen, p.incarnation = 0, n
 	}
-	sentAt := time.Now()
-	inTouch := p.vm.faultFreeFor(minFaultFreeTime) && p.h.storeFaultFreeFor(minFaultFreeTime)
+	sentAt, inTouch := time.Now(), p.inTouch()
 	status, fromReplica := p.get(c.version)
-	latest, _, _ := p.h.latestConfigs()
-	if !inTouch || !p.vm.faultFreeFor(minFaultFreeTime) || !p.h.storeFaultFreeFor(minFaultFreeTime) {
+	if !inTouch || !p.inTouch() {
+		return
+	}
+	if fromReplica {
+		p.checkServed(c, sentAt)
 		return
 	}
+	if latest, _, _ := p.h.latestConfigs(); isRefusal(status) && c.version == latest.version && sentAt.Sub(c.confirmedAt) > maxConfigApplyTime {
+		p.h.recordViolation("%s: status %d on the route of version %d, %v after it was confirmed", p.vm.name, status, c.version, sentAt.Sub(c.confirmedAt))
+	}
+}
+
+func (p *configProber) inTouch() bool {
+	return p.vm.faultFreeFor(minFaultFreeTime) && p.h.storeFaultFreeFor(minFaultFreeTime)
+}
+
+// checkServed checks a request that ran on the route of a version.
+func (p *configProber) checkServed(c confirmedConfig, sentAt time.Time) {
+	latest, _, _ := p.h.latestConfigs()
 	switch {
-	case fromReplica && c.version > p.seen:
+	case c.version > p.seen:
 		p.seen, p.seenAt = c.version, time.Now()
 		if since := time.Since(c.confirmedAt) + minFaultFreeTime; p.vm.faultFreeFor(since) && p.h.storeFaultFreeFor(since) {
 			p.h.recordApplyTime(time.Since(c.confirmedAt))
 		}
-	case fromReplica && c.version < p.seen && sentAt.Sub(p.seenAt) > maxRegressionTime:
+	case c.version < p.seen && sentAt.Sub(p.seenAt) > maxRegressionTime:
 		p.h.recordViolation("%s: a request ran on a route of version %d, %v after one of version %d", p.vm.name, c.version, sentAt.Sub(p.seenAt), p.seen)
-	case fromReplica && c.version < latest.version && sentAt.Sub(latest.confirmedAt) > maxConfigApplyTime:
+	case c.version < latest.version && sentAt.Sub(latest.confirmedAt) > maxConfigApplyTime:
 		p.h.recordViolation("%s: a request ran on a dropped route of version %d, %v after version %d was confirmed", p.vm.name, c.version, sentAt.Sub(latest.confirmedAt), latest.version)
-	case isRefusal(status) && c.version == latest.version && sentAt.Sub(c.confirmedAt) > maxConfigApplyTime:
-		p.h.recordViolation("%s: status %d on the route of version %d, %v after it was confirmed", p.vm.name, status, c.version, sentAt.Sub(c.confirmedAt))
 	}
 }
 
