edge: Upstreams that ask for a pause do not isolate a VM

Callers saw: when all upstreams of the services in use asked for a pause, the VM counted each refused request as one that reached no upstream, reported not ready after half a second, closed its callers' connections, and, once the pause had ended between the choice and the response, told callers to come back in 2.3 s although upstreams accepted requests again. Cause: the isolation check took every refusal but 'no room' for a sign of lost links. Change: refusals for a pause do not count, and have their own Retry-After. Requests at the cold limit of all upstreams still count: not changed, as sending callers to VMs with a share of their own left is right there.

--- a/internal/edge/isolation_test.go
+++ b/internal/edge/isolation_test.go
@@ -39,3 +39,12 @@
 	}
 	assert.False(t, i.isIsolated())
 }
+
+// The pause may end between the choice of an upstream and the response.
+func TestRetryAfterOfAPauseThatHasJustEnded(t *testing.T) {
+	s := &Proxy{fleet: fleet.New(fleet.Config{})}
+	for range minUnservedRequests {
+		s.isolation.recordUnserved(time.Now())
+	}
+	assert.Equal(t, shortRetryAfter, s.retryAfter(fleet.AllPaused, "orders"))
+}
--- a/internal/edge/notices_test.go
+++ b/internal/edge/notices_test.go
@@ -105,6 +105,17 @@
 	}
 }
 
+// Replicas that all ask for a pause are in reach: the VM must stay ready.
+func TestPausingReplicasDoNotIsolateTheVM(t *testing.T) {
+	s := newStandardSite(t)
+	s.setFaults("o", platformside.ReplicaFaults{Reject: true, RetryAfter: "5"})
+	for i := range 12 {
+		s.do(call{id: fmt.Sprint("paused-", i), path: "/look/x", key: key})
+		require.True(t, s.vms[0].ready())
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 func httpDate(in time.Duration) string { return time.Now().Add(in).UTC().Format(http.TimeFormat) }
 
 func (s *site) totalRequests(prefix string) int {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -240,7 +240,7 @@
 	if x.sendFallback() {
 		return
 	}
-	if !hasNoRoom(reason) {
+	if !hasNoRoom(reason) && reason != fleet.AllPaused {
 		x.recordUnserved()
 	}
 	if x.runs > 0 {
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -240,6 +240,9 @@
 	if left := s.fleet.PauseLeft(time.Now(), service); left > 0 {
 		return max(left, shortRetryAfter)
 	}
+	if reason == fleet.AllPaused { // the pause has just ended
+		return shortRetryAfter
+	}
 	if left := s.fleet.RoomExpectedIn(time.Now(), service); left > 0 && (reason == fleet.AllFull || reason == fleet.NoneReachable) {
 		return max(left, shortRetryAfter)
 	}
