edge, sitesoak: Failing test for a watch that is never answered

The soak missed such VMs: while configurations change more often than every 2 s it checked nothing. Each version now adds a route that later ones keep, and the route of the version that must be in force is probed as well.

--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -27,6 +27,21 @@
 	assert.Eventually(t, func() bool { return s.do(call{id: "new", path: "/look/x", key: "key-2"}).status == 200 }, 5*time.Second, 50*time.Millisecond)
 }
 
+// Guards against a watch that is never answered, at a VM that no other VM can tell what
+// it misses.
+func TestSilentWatchOfOneKind(t *testing.T) {
+	for _, at := range []time.Duration{0, 4 * time.Second} {
+		t.Run(at.String(), func(t *testing.T) {
+			s := newStandardSite(t)
+			time.Sleep(at)
+			s.store.SilenceWatches("config")
+			s.configure(routes(), "key-2")
+			// stabilityWindow and maxConfigApplyTime of the site's bounds
+			assert.Eventually(t, func() bool { return s.do(call{id: "new", path: "/look/x", key: "key-2"}).status == 200 }, 5*time.Second, 50*time.Millisecond)
+		})
+	}
+}
+
 // In a zone of six or more VMs, three watch the store and relay changes to the
 // others. A configuration must be applied on every VM within its time limit,
 // even if most VMs, including watching ones, stop just before it.
--- a/internal/fake/platformside/store.go
+++ b/internal/fake/platformside/store.go
@@ -71,6 +71,7 @@
 	faults            StoreFaults
 	calls             map[string]int
 	activeWatches     map[string]int // watch calls in progress, by kind
+	silences          map[string]int // by kind: watches that began before the latest silence get no response
 	era               uint64         // rises when the store is restored from a copy
 }
 
@@ -82,7 +83,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{}), calls: make(map[string]int), activeWatches: make(map[string]int)}
+	return &Store{revision: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{}), calls: make(map[string]int), activeWatches: make(map[string]int), silences: make(map[string]int)}
 }
 
 // SetFaults replaces the injected faults.
@@ -129,6 +130,16 @@
 	return out
 }
 
+// SilenceWatches leaves the watch calls of a kind that are in progress without a response.
+// Later ones work.
+func (s *Store) SilenceWatches(kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silences[kind]++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // ActiveWatches returns the number of watch calls of a kind that are in progress.
 func (s *Store) ActiveWatches(kind string) int {
 	s.mu.Lock()
@@ -310,15 +321,16 @@
 	timeout := time.After(time.Duration(waitMs) * time.Millisecond)
 	s.mu.Lock()
 	s.calls["watch"]++
-	compactionsAtStart, eraAtStart := s.compactions, s.era
+	kind := chi.URLParam(r, "kind")
+	compactionsAtStart, eraAtStart, silencesAtStart := s.compactions, s.era, s.silences[kind]
 	s.mu.Unlock()
-	s.addActiveWatches(chi.URLParam(r, "kind"), 1)
-	defer s.addActiveWatches(chi.URLParam(r, "kind"), -1)
+	s.addActiveWatches(kind, 1)
+	defer s.addActiveWatches(kind, -1)
 	for {
 		s.mu.Lock()
-		compactedDuringWatch, afterIsGone, changed, revision, unresponsive := s.compactions > compactionsAtStart, after < s.compactedRevision || after > s.revision, s.changed, s.revision, s.faults.Silent
+		compactedDuringWatch, afterIsGone, changed, revision, unresponsive := s.compactions > compactionsAtStart, after < s.compactedRevision || after > s.revision, s.changed, s.revision, s.faults.Silent || s.silences[kind] > silencesAtStart
 		restored := s.era > eraAtStart
-		events := s.eventsAfter(chi.URLParam(r, "kind"), after)
+		events := s.eventsAfter(kind, after)
 		s.mu.Unlock()
 		switch {
 		case restored:
--- a/internal/fake/sitesoak/configcheck.go
+++ b/internal/fake/sitesoak/configcheck.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -24,16 +25,43 @@
 	confirmedAt time.Time
 }
 
+// maxSinceRoutes limits the versions before a version whose added routes it still has.
+const maxSinceRoutes = 40
+
 func markerPath(version int) string { return fmt.Sprintf("/only-%d/", version) }
 
+func sincePath(version int) string { return fmt.Sprintf("/since-%d/", version) }
+
 // markerRoute returns the route that only one version of the configuration has.
-func markerRoute(version int) map[string]any {
+func markerRoute(version int) map[string]any { return probeRoute(markerPath(version)) }
+
+// sinceRoutes returns the routes that a version and those before it added.
+func sinceRoutes(version int) []map[string]any {
+	var out []map[string]any
+	for v := version; v > max(version-2*maxSinceRoutes, 0); v -= 2 {
+		out = append(out, probeRoute(sincePath(v)))
+	}
+	return out
+}
+
+func probeRoute(path string) map[string]any {
 	return map[string]any{
-		"name": fmt.Sprintf("only-%d", version), "host": host, "pathPrefix": markerPath(version), "routeType": "safe",
-		"timeoutMs": 1500, "service": orderService, "maxAttempts": 3,
+		"name": path, "host": host, "pathPrefix": path, "routeType": "safe", "timeoutMs": 1500, "service": orderService, "maxAttempts": 3,
 	}
 }
 
+// dueConfig returns the latest version that must be in force at a time.
+func (h *harness) dueConfig(now time.Time) (due confirmedConfig, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range slices.Backward(h.confirmed) {
+		if now.Sub(c.confirmedAt) > maxConfigApplyTime {
+			return c, h.configVersion-c.version < 2*maxSinceRoutes
+		}
+	}
+	return confirmedConfig{}, false
+}
+
 // latestConfigs returns the latest version of the configuration and the one before it.
 func (h *harness) latestConfigs() (latest, previous confirmedConfig, ok bool) {
 	h.mu.Lock()
@@ -73,6 +101,9 @@
 			p.probe(latest)
 			p.probe(previous)
 		}
+		if due, ok := h.dueConfig(time.Now()); ok {
+			p.probeDue(due)
+		}
 	}
 }
 
@@ -83,7 +114,7 @@
 		p.seen, p.incarnation = 0, n
 	}
 	sentAt, inTouch := time.Now(), p.inTouch()
-	status, fromReplica := p.get(c.version)
+	status, fromReplica := p.get(markerPath(c.version))
 	if !inTouch || !p.inTouch() {
 		return
 	}
@@ -96,6 +127,15 @@
 	}
 }
 
+// probeDue sends a request on the route that a version added which must be in force. The
+// key may be that of a later one, so a 401 shows nothing.
+func (p *configProber) probeDue(c confirmedConfig) {
+	sentAt, inTouch := time.Now(), p.inTouch()
+	if status, _ := p.get(sincePath(c.version)); status == http.StatusNotFound && inTouch && p.inTouch() {
+		p.h.recordViolation("%s: no route that version %d added, %v after it was confirmed", p.vm.name, c.version, sentAt.Sub(c.confirmedAt))
+	}
+}
+
 func (p *configProber) inTouch() bool {
 	return p.vm.faultFreeFor(minFaultFreeTime) && p.h.storeFaultFreeFor(minFaultFreeTime)
 }
@@ -120,12 +160,12 @@
 	return status == http.StatusUnauthorized || status == http.StatusForbidden || status == http.StatusNotFound
 }
 
-// get requests the route of a version. It returns the status, zero without a response, and
-// whether the response is a replica's.
-func (p *configProber) get(version int) (status int, fromReplica bool) {
+// get requests a path. It returns the status, zero without a response, and whether the
+// response is a replica's.
+func (p *configProber) get(path string) (status int, fromReplica bool) {
 	p.sent++
 	id := fmt.Sprintf("%d-c-%s-%d-%d", p.h.opts.Seed, p.vm.name, p.incarnation, p.sent)
-	r := &request{id: id, path: markerPath(version) + "x", key: p.h.currentKey(), vm: p.vm.name, sentAt: time.Now(), probe: true}
+	r := &request{id: id, path: path + "x", key: p.h.currentKey(), vm: p.vm.name, sentAt: time.Now(), probe: true}
 	p.h.mu.Lock()
 	p.h.requests[id] = r
 	p.h.mu.Unlock()
--- a/internal/fake/sitesoak/harness.go
+++ b/internal/fake/sitesoak/harness.go
@@ -251,7 +251,7 @@
 		{"name": "look", "host": host, "pathPrefix": "/look/", "routeType": "safe", "timeoutMs": 1500, "targetLatencyMs": 150, "service": orderService, "maxAttempts": 3},
 	}
 	h.store.Put("config", "main", map[string]any{
-		"version": h.configVersion, "routes": append(append(routes, markerRoute(h.configVersion)), extraRoutes...),
+		"version": h.configVersion, "routes": slices.Concat(routes, []map[string]any{markerRoute(h.configVersion)}, sinceRoutes(h.configVersion), extraRoutes),
 		"services": []any{
 			map[string]any{"name": engineService, "engine": map[string]any{"slots": 8, "kvCapacity": 100000, "models": []any{
 				map[string]any{"name": "small", "cost": 0.01}, map[string]any{"name": "large", "cost": 0.12},
--- a/internal/fake/sitesoak/proxy.go
+++ b/internal/fake/sitesoak/proxy.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,14 +29,19 @@
 	mu     sync.Mutex
 	faults linkFaults
 	conns  map[net.Conn]bool
+	links  map[*link]bool
 }
 
+// link is a connection through a proxy. A silent one drops all bytes for good, without
+// being closed; the kernel goes on acknowledging them.
+type link struct{ silent atomic.Bool }
+
 func newProxy(target string) (*proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]bool)}
+	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]bool), links: make(map[*link]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -65,6 +72,17 @@
 	}
 }
 
+// silenceConns makes a share of the open connections silent for good. New ones work.
+func (p *proxy) silenceConns(rng *rand.Rand, share float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		if rng.Float64() < share {
+			l.silent.Store(true)
+		}
+	}
+}
+
 func (p *proxy) close() {
 	_ = p.listener.Close()
 	p.resetConns()
@@ -90,18 +108,20 @@
 		_ = c.Close()
 		return
 	}
+	l := &link{}
 	p.mu.Lock()
-	p.conns[c], p.conns[target] = true, true
+	p.conns[c], p.conns[target], p.links[l] = true, true, true
 	p.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { p.copy(target, c, func(f linkFaults) bool { return f.dropToTarget }) })
-	wg.Go(func() { p.copy(c, target, func(f linkFaults) bool { return f.dropFromTarget }) })
+	wg.Go(func() { p.copy(target, c, func(f linkFaults) bool { return f.dropToTarget || l.silent.Load() }) })
+	wg.Go(func() { p.copy(c, target, func(f linkFaults) bool { return f.dropFromTarget || l.silent.Load() }) })
 	wg.Wait()
 	_ = c.Close()
 	_ = target.Close()
 	p.mu.Lock()
 	delete(p.conns, c)
 	delete(p.conns, target)
+	delete(p.links, l)
 	p.mu.Unlock()
 }
 
--- a/internal/fake/sitesoak/schedule.go
+++ b/internal/fake/sitesoak/schedule.go
@@ -25,6 +25,7 @@
 	"hup":           (*harness).reloadVM,
 	"store_link":    (*harness).disturbStoreLink,
 	"store_fault":   (*harness).injectStoreFault,
+	"store_silent":  (*harness).silenceStoreConns,
 	"compact":       (*harness).compactStore,
 	"replica_link":  (*harness).disturbReplicaLink,
 	"replica_fault": (*harness).injectReplicaFault,
@@ -42,7 +43,7 @@
 var weightedSteps = []string{
 	"term", "kill", "pause", "hup", "store_link", "store_fault", "compact", "replica_link", "replica_fault", "crash",
 	"leave", "evacuate", "config", "revoke", "storm", "rollout",
-	"replica_fault", "replica_fault", "replica_fault", "replica_fault", "replica_link", "store_fault",
+	"replica_fault", "replica_fault", "replica_fault", "replica_fault", "replica_link", "store_fault", "store_silent",
 }
 
 // runSchedule starts random steps until end, some of them concurrently, and waits
@@ -156,6 +157,21 @@
 	v.recordFault()
 }
 
+// silenceStoreConns makes half or all of the open connections to the store silent for
+// good, of one VM or of all at the same moment.
+func (h *harness) silenceStoreConns(rng *rand.Rand, _ time.Duration) {
+	share := 0.5 + 0.5*float64(rng.IntN(2))
+	vms := h.vms
+	if rng.IntN(2) == 0 {
+		vms = []*entryVM{h.randomVM(rng)}
+	}
+	h.recordEvent("%g of the connections of %d VMs to the store are silent", share, len(vms))
+	for _, v := range vms {
+		v.recordFault()
+		v.storeProxy.silenceConns(rng, share)
+	}
+}
+
 func (h *harness) injectStoreFault(rng *rand.Rand, duration time.Duration) {
 	f := []platformside.StoreFaults{
 		{Status: 503}, {Status: 429}, {Silent: true}, {Reset: true}, {LoseWrites: 0.5}, {Delay: 200 * time.Millisecond},
