catalog, edge: Watches are short at a VM that no other VM tells what it misses

Cause: a watch that is never answered is noticed when its wait is over. Only the upstreams' watch waits shortly; its answers are taken for a sign that the others are alive. A connection that goes silent alone, behind something that goes on acknowledging, leaves the watch of the configuration, of roll-outs or of withdrawals without its changes. Other VMs' digests hide it, where there are any. Change: a VM that has known fewer than two others for a stability window limits all waits to those of the upstreams' watch (2.4 s). With two or more others nothing changes, so no call more on any site in calm times.

--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -46,6 +46,8 @@
 	// recoveredAt is when the store last recovered from an outage of at least
 	// minOutage, as seen by this VM or reported by another VM.
 	recoveredAt time.Time
+	// maxWait limits the waits of all watchers; zero for no limit.
+	maxWait time.Duration
 	// unproven is true from SetMode(Watching) until the prober's first response. Only
 	// the prober calls the store meanwhile. From confirmableFrom on, the prober's
 	// responses confirm the copy: the other watchers have called the store, too.
@@ -147,6 +149,28 @@
 	g.proberWait = limit
 }
 
+// SetMaxWait limits the waits of all watchers; zero means no limit. A watch without a
+// response is noticed only when its wait is over, so the waits must be short while no
+// other VM would tell what it misses. A new limit ends the watches in progress.
+func (g *Group) SetMaxWait(limit time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if limit == g.maxWait {
+		return
+	}
+	g.maxWait = limit
+	if limit > 0 && g.mode == Watching {
+		g.restartOthers(g.prober)
+	}
+}
+
+// waitLimit returns the limit of the waits of all watchers; zero for none.
+func (g *Group) waitLimit() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.maxWait
+}
+
 // proberLimit returns the limit of the waits of a watcher; zero for none.
 func (g *Group) proberLimit(w *Watcher) time.Duration {
 	g.mu.Lock()
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -197,7 +197,7 @@
 	if w.group.isUnproven() {
 		return proofWait
 	}
-	unavailable, limit := w.group.StoreUnavailable(), w.group.proberLimit(w)
+	unavailable, limit, maxWait := w.group.StoreUnavailable(), w.group.proberLimit(w), w.group.waitLimit()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	short := w.shortNextWait || unavailable
@@ -205,7 +205,11 @@
 	if short {
 		return min(maxProbeWait, w.pace.MaxWait)
 	}
-	return withLimit(w.pace.MaxWait, limit)
+	wait := withLimit(w.pace.MaxWait, limit)
+	if maxWait > 0 {
+		wait = min(wait, maxWait)
+	}
+	return wait
 }
 
 // batchDelay returns the delay after a change.
--- a/internal/catalog/watcher_test.go
+++ b/internal/catalog/watcher_test.go
@@ -334,3 +334,20 @@
 		})
 	}
 }
+
+// Guards against a watch with a long wait that goes on when the waits must be short.
+func TestMaxWaitEndsLongWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		group, _, _ := startGroup(t, store)
+		calls := func() int { return store.count("watch " + string(Configurations)) }
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, 1, calls())
+		group.SetMaxWait(2 * time.Second)
+		time.Sleep(9 * time.Second)
+		assert.Equal(t, 6, calls(), "one more at once, and one each 2 s")
+		group.SetMaxWait(0)
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, 7, calls())
+	})
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -19,7 +19,8 @@
 // may receive nothing until its wait time ends. The time limit for a change and
 // the stability window together leave about 3 s to detect this. One watch
 // therefore has a short wait time; its response restarts the other watches. The
-// others wait longer, because each call to the store is billed.
+// others wait longer, because each call to the store is billed, and other VMs tell what
+// one of them misses; a VM that knows too few others waits shortly in all (maxWatchWait).
 const (
 	// shortMaxWaitShare is the short wait time as a share of the stability
 	// window.
@@ -68,6 +69,8 @@
 	// group watches the store; relay decides whether this VM reads it itself.
 	group *catalog.Group
 	relay *relayState
+	// aloneSince is when this VM last knew enough others, or when it started.
+	aloneSince time.Time
 	// verdictDueAt holds when each pending verdict is written to the store next. A
 	// verdict is a change of a roll-out's phase; it is pending until it is in the store.
 	verdictDueAt map[verdictKey]time.Time
@@ -90,7 +93,7 @@
 	return &Follower{
 		proxy: s, source: o.Source, docs: o.Documents, bounds: o.Settings.Bounds, history: o.Settings.Store.History, zone: o.Settings.Zone,
 		withdrawn: newWithdrawnZones(), rollOuts: make(map[string]rollOutObject), verdictDueAt: make(map[verdictKey]time.Time),
-		group: catalog.NewGroup(), relay: newRelayState(newRelayConfig(o, startedAt)),
+		group: catalog.NewGroup(), aloneSince: time.Now(), relay: newRelayState(newRelayConfig(o, startedAt)),
 	}
 }
 
--- a/internal/edge/relaying.go
+++ b/internal/edge/relaying.go
@@ -126,6 +126,24 @@
 	}
 	f.group.SetMode(watchMode(d))
 	f.group.SetProberWait(d.ConfirmInterval)
+	f.group.SetMaxWait(f.maxWatchWait(now, len(liveInZone)-1+zones-1))
+}
+
+// minTellingVMs is the number of other live VMs from which on a VM relies on them to tell
+// what a watch of its own misses: the watch of one of them may be silent as well.
+const minTellingVMs = 2
+
+// maxWatchWait returns the limit of the waits of the watches, given how many other VMs are
+// live at least; zero for none.
+func (f *Follower) maxWatchWait(now time.Time, others int) time.Duration {
+	if others >= minTellingVMs {
+		f.aloneSince = now
+		return 0
+	}
+	if now.Sub(f.aloneSince) < f.bounds.StabilityWindow {
+		return 0 // a VM that has just started does not know the others yet
+	}
+	return shareOf(shortMaxWaitShare, f.bounds.StabilityWindow)
 }
 
 // watchMode returns the mode of the watchers under a decision.
