edge: A VM that serves as many peers as it may refuses others at once

Cause, traced by a replay with all logs: the 25 VMs of a zone asked the first one that announced the version. It serves two at a time and let the others wait, up to the 2 s after which they give up, a transfer under way included; they could not ask those that had been served since. Eight VMs had the version 3.0 to 3.4 s after its confirmation, allowed are 3 s. Change: a peer without a free place answers 503 at once. The next digest names another one, so that the number of VMs that serve doubles with each transfer.

--- a/internal/edge/peerstate.go
+++ b/internal/edge/peerstate.go
@@ -37,8 +37,9 @@
 	// sent only while the store does not respond to the requesting VM.
 	peerTimeout     = 600 * time.Millisecond
 	fullListTimeout = 2 * time.Second
-	// maxConcurrentStates limits the responses to peers that are encoded at the same
-	// time, each of which may take a megabyte of memory.
+	// maxConcurrentStates limits the responses to peers that are encoded and sent at the
+	// same time, each of which may take a megabyte of memory and much of the link. Further
+	// peers are refused at once, so that they ask those that have been served.
 	maxConcurrentStates = 2
 )
 
@@ -62,7 +63,8 @@
 		select {
 		case slots <- struct{}{}:
 			defer func() { <-slots }()
-		case <-req.Context().Done():
+		default: // by now another VM may have the changes, and room
+			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
