--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -151,17 +151,19 @@
 
 // SetMaxWait limits the waits of all watchers; zero means no limit. A watch without a
 // response is noticed only when its wait is over, so the waits must be short while no
-// other VM would tell what it misses. A new limit ends the watches in progress.
-func (g *Group) SetMaxWait(limit time.Duration) {
+// other VM would tell what it misses. A new limit ends the watches in progress. It reports
+// whether the limit has changed.
+func (g *Group) SetMaxWait(limit time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if limit == g.maxWait {
-		return
+		return false
 	}
 	g.maxWait = limit
 	if limit > 0 && g.mode == Watching {
 		g.restartOthers(g.prober)
 	}
+	return true
 }
 
 // waitLimit returns the limit of the waits of all watchers; zero for none.
--- a/internal/edge/relaying.go
+++ b/internal/edge/relaying.go
@@ -126,15 +126,18 @@
 	}
 	f.group.SetMode(watchMode(d))
 	f.group.SetProberWait(d.ConfirmInterval)
-	f.group.SetMaxWait(f.maxWatchWait(now, len(liveInZone)-1+zones-1))
+	others := len(liveInZone) - 1 + zones - 1 // at least one VM in each other zone
+	if limit := f.maxWatchWait(now, others); f.group.SetMaxWait(limit) {
+		klog.InfoS("relay: limit of the waits of all watches changed; zero means none", "limit", limit, "others", others)
+	}
 }
 
 // minTellingVMs is the number of other live VMs from which on a VM relies on them to tell
 // what a watch of its own misses: the watch of one of them may be silent as well.
 const minTellingVMs = 2
 
-// maxWatchWait returns the limit of the waits of the watches, given how many other VMs are
-// live at least; zero for none.
+// maxWatchWait returns the limit of the waits of all watches, given the least number of
+// other live VMs; zero for none.
 func (f *Follower) maxWatchWait(now time.Time, others int) time.Duration {
 	if others >= minTellingVMs {
 		f.aloneSince = now
