sitesoak: The time limit of a stop does not run while the process is paused

Traced: vm-0 got SIGTERM at 0.976 s, and the step 'pause' stopped the process at 3.714 s for 2.444 s; its log ends at that moment and no other VM has a gap then, so it was frozen beyond its limit at 5.976 s. A freeze is no time of the process: the case is allowed. Only the paused time is added to the limit.

--- a/internal/fake/sitesoak/process.go
+++ b/internal/fake/sitesoak/process.go
@@ -31,8 +31,12 @@
 	exitExpected  bool      // set before the process is stopped on purpose
 	lastFault     time.Time // time of the latest fault that affected the VM
 	stoppingSince time.Time // time of the SIGTERM or SIGKILL; zero while the VM serves
+	pauses        []pause
 }
 
+// pause is a time in which the process did not run.
+type pause struct{ begin, end time.Time }
+
 const settingsTemplate = `nodeName: %q
 zone: %q
 region: "r"
@@ -153,6 +157,28 @@
 	}
 }
 
+// recordPause records that the process does not run from now on for a duration.
+func (v *entryVM) recordPause(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.pauses = append(v.pauses, pause{time.Now(), time.Now().Add(d)})
+}
+
+// pausedSince returns for how long the process does not run from a time on, as far as is
+// known.
+func (v *entryVM) pausedSince(begin time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	sum := time.Duration(0)
+	for _, p := range v.pauses {
+		if p.begin.Before(begin) {
+			p.begin = begin
+		}
+		sum += max(p.end.Sub(p.begin), 0)
+	}
+	return sum
+}
+
 var readinessClient = &http.Client{Timeout: 500 * time.Millisecond}
 
 func (v *entryVM) isReady() bool {
--- a/internal/fake/sitesoak/schedule.go
+++ b/internal/fake/sitesoak/schedule.go
@@ -79,9 +79,11 @@
 	return live[rng.IntN(len(live))]
 }
 
-// restartVM waits until a process has exited and starts it again.
+// restartVM waits until a process that was told to stop has exited and starts it again. The
+// time limit does not run while the process is paused.
 func (h *harness) restartVM(v *entryVM, downtime time.Duration) {
-	if !v.waitForExit(stopTimeout) {
+	begin := time.Now()
+	if !v.waitForExit(stopTimeout) && !v.waitForExit(v.pausedSince(begin)) {
 		h.recordViolation("%s: did not exit in time", v.name)
 		v.signal(syscall.SIGKILL)
 		v.waitForExit(stopTimeout)
@@ -121,6 +123,7 @@
 
 func (h *harness) pauseVM(rng *rand.Rand, duration time.Duration) {
 	v := h.randomVM(rng)
+	v.recordPause(duration)
 	v.signal(syscall.SIGSTOP)
 	time.Sleep(duration)
 	v.signal(syscall.SIGCONT)
