platformside: The stand-in of the store does not check large objects again in each response

Traced: no call of the client failed and nothing was logged; a profile shows the stand-in, which encoded and checked up to 25 MB for each watch, as the largest consumer (the client reads 2.3 MB of it). The test and its bound stay as they are.

--- a/internal/fake/platformside/store.go
+++ b/internal/fake/platformside/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -44,6 +45,26 @@
 	Status   json.RawMessage `json:"status"`
 }
 
+// appendTo appends the object as JSON. Its parts are valid JSON and are not checked again:
+// a response may have many large ones.
+func (o Object) appendTo(b []byte) []byte {
+	metadata, err := json.Marshal(o.Metadata)
+	if err != nil {
+		panic(err) // always marshals
+	}
+	b = append(append(b, `{"metadata":`...), metadata...)
+	b = append(append(b, `,"spec":`...), orNull(o.Spec)...)
+	b = append(append(b, `,"status":`...), orNull(o.Status)...)
+	return append(b, '}')
+}
+
+func orNull(raw json.RawMessage) json.RawMessage {
+	if len(raw) == 0 {
+		return json.RawMessage("null")
+	}
+	return raw
+}
+
 // Metadata is the metadata of an object.
 type Metadata struct {
 	Name            string   `json:"name"`
@@ -307,7 +328,14 @@
 	}
 	revision := s.revision
 	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{"entries": page, "hasMore": len(names) > maxPageSize, "at": revision})
+	body := []byte(`{"entries":[`)
+	for i, o := range page {
+		if i > 0 {
+			body = append(body, ',')
+		}
+		body = o.appendTo(body)
+	}
+	writeRaw(w, http.StatusOK, fmt.Appendf(body, `],"hasMore":%t,"at":%d}`, len(names) > maxPageSize, revision))
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
@@ -342,7 +370,14 @@
 			writeJSON(w, http.StatusGone, map[string]any{"error": "history is gone"})
 			return
 		case len(events) > 0 && !compactedDuringWatch:
-			writeJSON(w, http.StatusOK, map[string]any{"events": events, "at": revision})
+			body := []byte(`{"events":[`)
+			for i, e := range events {
+				if i > 0 {
+					body = append(body, ',')
+				}
+				body = fmt.Appendf(e.Object.appendTo(append(body, `{"object":`...)), `,"deleted":%t}`, e.Deleted)
+			}
+			writeRaw(w, http.StatusOK, fmt.Appendf(body, `],"at":%d}`, revision))
 			return
 		}
 		select {
@@ -442,6 +477,10 @@
 	if err != nil {
 		panic(err) // bodies come from the fake and always marshal
 	}
+	writeRaw(w, status, raw)
+}
+
+func writeRaw(w http.ResponseWriter, status int, raw []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
 	w.WriteHeader(status)
