--- a/internal/edge/peerstate_test.go
+++ b/internal/edge/peerstate_test.go
@@ -1,52 +1,42 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
+	"github.com/cranberrypier/cranberrypier/internal/relay"
 	"github.com/cranberrypier/cranberrypier/internal/vm"
 )
 
-// slowReader is a response writer whose writes wait until release is closed.
-type slowReader struct {
-	http.ResponseWriter
-	writing chan<- struct{}
-	release <-chan struct{}
-}
-
-func (w *slowReader) Write(b []byte) (int, error) {
-	w.writing <- struct{}{}
-	<-w.release
-	return w.ResponseWriter.Write(b)
-}
-
-// Guards against VMs that wait for the first one with a large change until their time is
-// up, while others have it as well.
-func TestBusyVMRefusesStateRequestsAtOnce(t *testing.T) {
-	f := NewFollower(&Proxy{fleet: fleet.New(fleet.Config{})}, Options{Settings: &vm.Settings{Name: "vm-1"}}, time.Now())
-	h := f.stateHandler()
-	request := func() *http.Request { return httptest.NewRequest(http.MethodGet, statePath, nil) }
-	writing, release := make(chan struct{}), make(chan struct{})
-	defer close(release)
-	for range maxConcurrentStates {
-		go h.ServeHTTP(&slowReader{httptest.NewRecorder(), writing, release}, request())
-		<-writing
-	}
-	refused := make(chan int)
-	go func() {
-		third := httptest.NewRecorder()
-		h.ServeHTTP(third, request())
-		refused <- third.Code
-	}()
-	select {
-	case status := <-refused:
-		assert.Equal(t, http.StatusServiceUnavailable, status)
-	case <-time.After(time.Second):
-		t.Error("the request waits for room")
+// A peer's state that never ends is an error within the time for a fetch.
+func TestEndlessStateOfAPeer(t *testing.T) {
+	for name, write := range map[string]func(w http.ResponseWriter, block []byte){
+		"body":   func(http.ResponseWriter, []byte) {},
+		"header": func(w http.ResponseWriter, block []byte) { w.Header().Set("X-Fill", strings.Repeat(string(block), 8)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			block := []byte(strings.Repeat("1", 16<<10))
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				write(w, block)
+				_, err := w.Write([]byte(`{"returnedMS":`))
+				for err == nil {
+					_, err = w.Write(block)
+				}
+			}))
+			t.Cleanup(server.CloseClientConnections)
+			proxy := &Proxy{fleet: fleet.New(fleet.Config{})}
+			f := NewFollower(proxy, Options{Settings: &vm.Settings{}}, time.Now())
+			begin := time.Now()
+			_, err := f.fetchState(context.Background(), newStateClient(), newerPeer{address: strings.TrimPrefix(server.URL, "http://"), digest: &relay.Digest{}})
+			assert.Error(t, err)
+			assert.Less(t, time.Since(begin), fullListTimeout+time.Second)
+		})
 	}
 }
