poison: Each part of a prompt is marked, and a full table keeps what was marked before

What callers would see: upstreams that crash again and again, and sound requests refused or lost beside them (BUDGET, LOST), where the deadly part stands behind 640 others, or in a second line of the header, or where a crash marks more content than is kept.

VMs take headers of 64 KiB, some 5,000 parts; 640 were marked. A crash that marked more than 4,096 contents removed those that had one mark each from the crash before, and the deadly part with them.

Change: a crash marks each part; content that is known is marked first; 16,384 contents are kept. What is done for each of them on every answer and judgement is done only where it matters: content with three crashes, upstreams with marks. Other VMs are told of the most crashes first, as before, without a lookup in each comparison.

TestKeysOf asked for the bound of 640 and asks for all parts now. TestRecordsAreBounded fills the larger table with as many crashes, four contents each.

--- a/internal/poison/contact.go
+++ b/internal/poison/contact.go
@@ -19,6 +19,9 @@
 	id := crashOf(upstream, incarnation)
 	c.contactAt.Add(id, begunAt)
 	c.runs.discard(id, begunAt)
+	if _, ok := c.refutable[id]; !ok {
+		return
+	}
 	for _, s := range c.suspects {
 		for i := range s.marks {
 			if m := &s.marks[i]; m.crash == id && !m.cleared && refutes(begunAt, m.crashedAt) {
--- a/internal/poison/judge.go
+++ b/internal/poison/judge.go
@@ -14,23 +14,29 @@
 		return
 	}
 	c.stale = false
-	c.expire(now)
+	if now.Sub(c.expiredAt) >= expireInterval {
+		c.expire(now)
+	}
 	explained := make(map[crashID]bool)
 	wasBlocked := make(map[Key]bool)
+	candidates := make(map[Key]*suspect)
 	for k, s := range c.suspects {
 		if s.blocked {
 			wasBlocked[k] = true
 		}
 		s.blocked, s.count = false, s.sequence(nil)
+		if s.count >= minCrashes {
+			candidates[k] = s
+		}
 	}
 	defer c.recordVerdicts(wasBlocked)
 	for {
-		k, s := c.worst(explained)
+		s := worst(candidates, explained)
 		if s == nil {
 			return
 		}
 		s.blocked = true
-		for _, m := range c.suspects[k].marks {
+		for _, m := range s.marks {
 			if !m.cleared {
 				explained[m.crash] = true
 			}
@@ -40,11 +46,11 @@
 
 // worst returns the content with the most crashes that are not explained, if it is
 // to be blocked.
-func (c *Core) worst(explained map[crashID]bool) (Key, *suspect) {
+func worst(candidates map[Key]*suspect, explained map[crashID]bool) *suspect {
 	var worst *suspect
 	var worstKey Key
 	most := 0
-	for k, s := range c.suspects {
+	for k, s := range candidates {
 		n := s.unexplained(explained)
 		if s.blocked || n < max(most, minCrashes) || s.sequence(explained) < minCrashes {
 			continue
@@ -53,7 +59,7 @@
 			worstKey, worst, most = k, s, n
 		}
 	}
-	return worstKey, worst
+	return worst
 }
 
 // blocksLess orders contents with equally many crashes, in the same way on all VMs:
@@ -128,8 +134,17 @@
 	slices.SortFunc(s.marks, func(a, b mark) int { return a.crashedAt.Compare(b.crashedAt) })
 }
 
+// expireInterval is how often content is removed whose last crash is too old.
+const expireInterval = time.Second
+
 // expire removes content whose last crash is too old.
 func (c *Core) expire(now time.Time) {
+	c.expiredAt = now
+	for id, at := range c.refutable {
+		if now.Sub(at) > suspicionTTL {
+			delete(c.refutable, id)
+		}
+	}
 	for k, s := range c.suspects {
 		ttl := suspicionTTL
 		if s.sequence(nil) >= minCrashes {
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -32,15 +32,13 @@
 	// minBlockTime is how long content is blocked after minCrashes crashes. Each
 	// further crash adds the same time.
 	minBlockTime = time.Minute
-	// maxSuspects and maxMarks limit what is kept: contents, and crashes of each.
-	maxSuspects = 4096
+	// maxSuspects and maxMarks limit what is kept: contents, and crashes of each. The
+	// longest prompt has some thousand parts, as many as a header of 64 KiB holds.
+	maxSuspects = 16384
 	maxMarks    = 8
 	// evictedShare is the share of the suspects, one in so many, that is dropped at once
 	// when there are too many.
 	evictedShare = 8
-	// maxParts limits the parts of one prompt that a crash marks, above what a header of
-	// 8 KiB holds.
-	maxParts = 640
 	// maxCompletedParts limits the parts whose last completion is kept.
 	maxCompletedParts = 4096
 )
@@ -56,15 +54,15 @@
 
 // KeysOf returns the keys of a request's content: first that of its target, team
 // and body, which is the same when a caller sends it again, then those of the
-// prompt's parts that other requests may share.
+// prompt's parts that other requests may share. The header of a request bounds their
+// number.
 func KeysOf(target, team string, body []byte, sharedParts []string) []Key {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(target + "\x00" + team + "\x00") // writing to a hash never fails
 	_, _ = d.Write(body)
-	parts := sharedParts[:min(len(sharedParts), maxParts)]
-	keys := append(make([]Key, 0, 1+len(parts)), Key(d.Sum64()|wholeBit))
-	for _, part := range parts {
+	keys := append(make([]Key, 0, 1+len(sharedParts)), Key(d.Sum64()|wholeBit))
+	for _, part := range sharedParts {
 		keys = append(keys, Key(xxhash.Sum64String(part)&^wholeBit))
 	}
 	return keys
@@ -129,7 +127,10 @@
 	completedAt *simplelru.LRU[Key, time.Time]
 	// contactAt is when the last connection on which an incarnation responded was begun.
 	contactAt *simplelru.LRU[crashID, time.Time]
+	// refutable are the crashes of the latest marks and their times.
+	refutable map[crashID]time.Time
 	stale     bool // the judgement is older than the marks
+	expiredAt time.Time
 	verdicts  []Verdict
 }
 
@@ -144,7 +145,7 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Core{vm: vm, suspects: make(map[Key]*suspect), runs: newUnconfirmedRuns(), completedAt: completedAt, contactAt: contactAt}
+	return &Core{vm: vm, suspects: make(map[Key]*suspect), runs: newUnconfirmedRuns(), completedAt: completedAt, contactAt: contactAt, refutable: make(map[crashID]time.Time)}
 }
 
 // Broken records that an upstream broke the connection of a run. It reports whether
@@ -164,7 +165,7 @@
 func (c *Core) addRun(now time.Time, r Run, dropped bool) (check bool) {
 	id := crashOf(r.Upstream, r.Incarnation)
 	if crashedAt, ok := c.runs.crashes[id]; ok {
-		c.markRun(now, r, id, crashedAt, dropped)
+		c.markRuns(now, []unconfirmedRun{{Run: r, crash: id, dropped: dropped}}, crashedAt)
 		return false
 	}
 	return c.runs.add(now, unconfirmedRun{Run: r, crash: id, dropped: dropped})
@@ -191,9 +192,7 @@
 		}
 	}
 	c.runs.recordCrash(now, id, crashedAt)
-	for _, r := range runs {
-		c.markRun(now, r.Run, id, crashedAt, r.dropped)
-	}
+	c.markRuns(now, runs, crashedAt)
 	return len(runs)
 }
 
@@ -203,14 +202,22 @@
 	c.runs.discard(crashOf(upstream, incarnation), at)
 }
 
-// markRun marks the content of a run. A run that this VM had dropped is marked only
-// if the upstream crashed soon after.
-func (c *Core) markRun(now time.Time, r Run, id crashID, crashedAt time.Time, dropped bool) {
-	if dropped && crashedAt.Sub(r.EndedAt) > maxCrashDelay {
-		return
-	}
-	for depth, k := range r.Keys {
-		c.addMark(now, k, depth, mark{crash: id, crashedAt: crashedAt, ran: max(crashedAt.Sub(r.BeganAt), 0)})
+// markRuns marks the content of the runs that a crash ended. A run that this VM had
+// dropped is marked only if the upstream crashed soon after. Content that is known from
+// earlier crashes comes first, so that it is not removed to make room for the rest.
+func (c *Core) markRuns(now time.Time, runs []unconfirmedRun, crashedAt time.Time) {
+	for _, known := range []bool{true, false} {
+		for _, r := range runs {
+			if r.dropped && crashedAt.Sub(r.EndedAt) > maxCrashDelay {
+				continue
+			}
+			m := mark{crash: r.crash, crashedAt: crashedAt, ran: max(crashedAt.Sub(r.BeganAt), 0)}
+			for depth, k := range r.Keys {
+				if (c.suspects[k] != nil) == known {
+					c.addMark(now, k, depth, m)
+				}
+			}
+		}
 	}
 }
 
@@ -226,6 +233,7 @@
 		c.suspects[k] = s
 	}
 	s.depth = max(s.depth, depth)
+	c.refutable[m.crash] = m.crashedAt
 	if completedAt, ok := c.completedAt.Get(k); ok && completedAt.After(m.crashedAt) || c.refuted(m) {
 		m.cleared = true
 	}
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -34,7 +34,7 @@
 	assert.Equal(t, a[1], b[1])
 	assert.NotEqual(t, a[2], b[2])
 	assert.Equal(t, a, KeysOf("/a", "team", []byte("x"), []string{"p", "q"}))
-	assert.Len(t, KeysOf("/a", "team", nil, make([]string, 1000)), 1+maxParts)
+	assert.Len(t, KeysOf("/a", "team", nil, make([]string, 5000)), 5001)
 }
 
 const (
@@ -216,8 +216,13 @@
 	for i := range minCrashes {
 		crash(c, 1000*i+100, 1000*i+50, fmt.Sprint(i), []Key{deadly})
 	}
-	for i := range 3 * maxSuspects {
-		crash(c, 5000+i, 5000+i, fmt.Sprint("u", i), []Key{Key(1000 + 2*i)})
+	const perCrash = 4
+	for i := range 3 * maxSuspects / perCrash {
+		var keys []Key
+		for j := range perCrash {
+			keys = append(keys, Key(1000+2*(perCrash*i+j)))
+		}
+		crash(c, 5000+i, 5000+i, fmt.Sprint("u", i), keys)
 		c.Dropped(at(5000+i), Run{Upstream: "x", Keys: []Key{sound}, EndedAt: at(5000 + i)})
 	}
 	assert.LessOrEqual(t, len(c.suspects), maxSuspects)
--- a/internal/poison/share.go
+++ b/internal/poison/share.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -62,16 +63,27 @@
 
 // toShare returns the keys with the most crashes, and others in turn.
 func (c *Core) toShare(now time.Time) []Key {
-	keys := make([]Key, 0, len(c.suspects))
+	list := make([]sharedSuspect, 0, len(c.suspects))
 	for k, s := range c.suspects {
 		if now.Sub(s.changedAt) < shareTime || s.blocked && now.Sub(s.sharedAt) >= repeatInterval {
-			keys = append(keys, k)
+			list = append(list, sharedSuspect{k, s})
 		}
 	}
-	slices.SortFunc(keys, func(a, b Key) int { return c.suspects[b].count - c.suspects[a].count })
-	ranked := min(len(keys), maxRankedSuspects)
-	slices.SortFunc(keys[ranked:], func(a, b Key) int { return c.suspects[a].sharedAt.Compare(c.suspects[b].sharedAt) })
-	return keys[:min(len(keys), maxSharedSuspects)]
+	slices.SortFunc(list, func(a, b sharedSuspect) int {
+		return cmp.Or(b.count-a.count, a.sharedAt.Compare(b.sharedAt))
+	})
+	ranked := min(len(list), maxRankedSuspects)
+	slices.SortFunc(list[ranked:], func(a, b sharedSuspect) int { return a.sharedAt.Compare(b.sharedAt) })
+	keys := make([]Key, 0, maxSharedSuspects)
+	for _, s := range list[:min(len(list), maxSharedSuspects)] {
+		keys = append(keys, s.key)
+	}
+	return keys
+}
+
+type sharedSuspect struct {
+	key Key
+	*suspect
 }
 
 // share returns the newest marks.
