poison: Crashes that no longer fit in a list stay explained

Cause: of each content the eight latest crashes are kept. Blocked content explains its crashes, so that they do not count for what ran beside it; those that no longer fitted in were explained by nothing.

A crash before all that are kept changes nothing.

Tests, both failed before: TestEarlierCrashesOfBlockedContentBlockOthers (12 and 24 crashes), TestRepeatedMarksOfAFullListAreNoChange.

--- a/internal/poison/bounds_test.go
+++ b/internal/poison/bounds_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -64,6 +65,43 @@
 	}
 }
 
+// Guards against sound content that is blocked for crashes that blocked content explains,
+// once that content has had more crashes than are kept.
+func TestEarlierCrashesOfBlockedContentBlockOthers(t *testing.T) {
+	for _, crashes := range []int{maxMarks, maxMarks + 4, 3 * maxMarks} {
+		t.Run(fmt.Sprint(crashes), func(t *testing.T) {
+			c := New("vm")
+			for i := range crashes {
+				runs := [][]Key{{deadly}}
+				if i < 4 {
+					runs = append(runs, []Key{sound})
+				}
+				crash(c, 1000*i+100, 1000*i+50, fmt.Sprint(i), runs...)
+			}
+			now := 1000 * crashes
+			assert.True(t, blocked(c, now, deadly))
+			assert.False(t, blocked(c, now, sound))
+		})
+	}
+}
+
+// Guards against crashes that count as new each time another VM repeats them.
+func TestRepeatedMarksOfAFullListAreNoChange(t *testing.T) {
+	c := New("a")
+	for i := range maxMarks {
+		crash(c, 1000*i+1100, 1000*i+1050, fmt.Sprint("later-", i), []Key{deadly})
+	}
+	now := 1000*maxMarks + 1100 + int(urgentTime/time.Millisecond)
+	told := func(ms int) []Suspect {
+		return []Suspect{{Key: deadly, Marks: []Mark{{Crash: 7, AgeMS: int64(ms) - 100, RanMS: 50}}}}
+	}
+	for range 3 {
+		c.Merge(at(now), told(now))
+		assert.False(t, c.IsUrgent(at(now)), "nothing is new")
+		now += 200
+	}
+}
+
 // Guards against deadly parts of long prompts that each VM sees crash once and that the
 // others never hear of: a datagram holds few suspects.
 func TestDeadlyPartOfLongPromptsIsSharedTooLate(t *testing.T) {
--- a/internal/poison/judge.go
+++ b/internal/poison/judge.go
@@ -41,6 +41,9 @@
 				explained[m.crash] = true
 			}
 		}
+		for _, id := range s.dropped {
+			explained[id] = true
+		}
 	}
 }
 
@@ -101,13 +104,19 @@
 	return n
 }
 
-// merge adds a mark and reports whether anything changed.
+// merge adds a mark and reports whether anything changed. If there are too many, the
+// earliest is dropped.
 func (s *suspect) merge(m mark) bool {
 	i := slices.IndexFunc(s.marks, func(known mark) bool { return known.crash == m.crash })
+	if i < 0 && len(s.marks) == maxMarks && m.crashedAt.Before(s.marks[0].crashedAt) {
+		s.drop(m)
+		return false
+	}
 	if i < 0 {
 		s.marks = append(s.marks, m)
 		s.sort()
 		if len(s.marks) > maxMarks {
+			s.drop(s.marks[0])
 			s.marks = slices.Delete(s.marks, 0, 1)
 		}
 		return true
@@ -130,6 +139,17 @@
 	return changed
 }
 
+// drop keeps of a mark only that the content explains its crash.
+func (s *suspect) drop(m mark) {
+	if m.cleared || slices.Contains(s.dropped, m.crash) {
+		return
+	}
+	if len(s.dropped) >= maxDroppedMarks {
+		s.dropped = slices.Delete(s.dropped, 0, 1)
+	}
+	s.dropped = append(s.dropped, m.crash)
+}
+
 func (s *suspect) sort() {
 	slices.SortFunc(s.marks, func(a, b mark) int { return a.crashedAt.Compare(b.crashedAt) })
 }
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -39,6 +39,9 @@
 	// evictedShare is the share of the suspects, one in so many, that is dropped at once
 	// when there are too many.
 	evictedShare = 8
+	// maxDroppedMarks limits the crashes of content that are kept beyond maxMarks, by
+	// their IDs only.
+	maxDroppedMarks = 64
 	// maxCompletedParts limits the parts whose last completion is kept.
 	maxCompletedParts = 4096
 )
@@ -104,6 +107,8 @@
 // suspect is content that was running on upstreams that crashed.
 type suspect struct {
 	marks []mark // by the time of the crash
+	// dropped are the crashes before those of the marks that do not fit in any more.
+	dropped []crashID
 	// depth is the position of the part in prompts, the largest seen; zero for a
 	// whole request.
 	depth int
@@ -259,6 +264,7 @@
 				s.changedAt, c.stale = now, true
 			}
 		}
+		s.dropped = nil
 	}
 }
 
