edge: A planned stop ends with a last answer to each request

Cause: closing the connections was all that happened to requests which the VM could not finish. Nor did it ask, when it took one, whether its upstream answers in time.

Change: 0.2 s before the end, requests without a response end with 502 (1211, may have run) or 503 (not run). This holds for requests at upstreams, waiting for room or their next attempt, half arrived, and forwarded; a VM that gives up a forwarded request says so, and the other decides as after a lost answer. Streams that have begun go on to the end. A stopping VM refuses at once what it does not expect to begin to answer in time, and drops no answer for one that it may not live to see. Found beside it: the 408 for a body that does not arrive was held back until it did.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -34,8 +34,10 @@
 	vm string
 	// finalError is true if the response is that VM's own error response, and runsThere
 	// the number of attempts that ran or may have run by then.
-	finalError    bool
-	runsThere     int
+	finalError bool
+	runsThere  int
+	// vmStopped is true if that VM gave the request up because it stops.
+	vmStopped     bool
 	model         string
 	startedAt     time.Time
 	head          *exchange.Head
@@ -184,7 +186,7 @@
 // outcome returns how the attempt counts for the upstream's health.
 func (a *attempt) outcome() fleet.Outcome {
 	switch {
-	case a.state.callerGone():
+	case a.state.callerGone() || a.state.vmStopping():
 		return fleet.OutcomeNeutral
 	case a.attemptStatus == exchange.NotSent:
 		return fleet.OutcomeUnreachable
--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -60,7 +60,7 @@
 // if the response is a failure that another upstream might not have.
 func (x *requestState) deliver(a *attempt) bool {
 	if a.finalError {
-		return x.passFinalError(a)
+		return !a.vmStopped && x.passFinalError(a)
 	}
 	if a.attemptStatus != exchange.Answered || !a.head.Usable() {
 		return false
--- a/internal/edge/bytebudget.go
+++ b/internal/edge/bytebudget.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -93,8 +94,14 @@
 	}
 	controller := http.NewResponseController(x.w)
 	_ = controller.SetReadDeadline(x.req.Deadline) // without one, a slow body ends with its connection
+	stop := context.AfterFunc(x.proxy.lastAnswers, func() { _ = controller.SetReadDeadline(time.Now()) })
+	defer stop()
 	body, err := x.readAll(http.MaxBytesReader(x.w, r.Body, maxBytes), r.ContentLength)
-	_ = controller.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
+	} else {
+		x.w.Header().Set("Connection", "close") // net/http would read the rest before it responds
+	}
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
@@ -103,6 +110,9 @@
 		x.elsewhere = true
 		klog.InfoS("request: no room for the body", "request", x.req.ID, "bytes", r.ContentLength, "held", x.proxy.bodies.inUse())
 		return result.New(result.NoBodyRoom, "this VM has no room for the body now").WithRetryAfter(bodyRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded) && x.proxy.lastAnswers.Err() != nil:
+		x.elsewhere = true
+		return stoppingError()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return result.New(result.BodyTimeout, "the body did not arrive before the deadline")
 	case err != nil:
--- a/internal/edge/endcause.go
+++ b/internal/edge/endcause.go
@@ -30,6 +30,7 @@
 	endStallTimeout endCause = "stall_timeout"
 	endDeadline     endCause = "deadline"
 	endCallerGone   endCause = "caller_gone"
+	endVMStopping   endCause = "vm_stopping"
 	endOther        endCause = "other"
 )
 
@@ -41,6 +42,7 @@
 }{
 	{errHeadTimeout, endHeadTimeout},
 	{errStreamStalled, endStallTimeout},
+	{errVMStopping, endVMStopping},
 	{context.DeadlineExceeded, endDeadline},
 	{context.Canceled, endCallerGone},
 	{syscall.ETIMEDOUT, endConnTimeout},
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -212,7 +212,8 @@
 	switch forwardResult(resp.Header.Get(forwardResultHeader)) {
 	case forwardResultElsewhere:
 		a.attemptStatus = exchange.Misdirected
-	case forwardResultFinal:
+	case forwardResultFinal, forwardResultStopped:
+		a.vmStopped = resp.Header.Get(forwardResultHeader) == string(forwardResultStopped)
 		a.finalError, a.runsThere = true, x.runsThere(resp.Header.Get(forwardRunsHeader))
 		a.attemptStatus = exchange.Unknown
 		if a.runsThere == x.runs {
--- a/internal/edge/forwarded.go
+++ b/internal/edge/forwarded.go
@@ -34,6 +34,9 @@
 	forwardResultFinal forwardResult = "final"
 	// forwardResultElsewhere: the request has not run, and other VMs may serve it.
 	forwardResultElsewhere forwardResult = "elsewhere"
+	// forwardResultStopped: the VM stops before the response is complete. The request may
+	// have run, and may run again if its route allows it.
+	forwardResultStopped forwardResult = "stopped"
 )
 
 // forwardInfo is what a VM says of a request that it forwards.
@@ -119,9 +122,22 @@
 		h.Set(forwardResultHeader, string(forwardResultElsewhere))
 		return
 	}
+	if x.stopped {
+		h.Set(forwardResultHeader, string(forwardResultStopped))
+		return
+	}
 	h.Set(forwardResultHeader, string(forwardResultFinal))
 }
 
+// runsBefore returns the number of attempts that ran or may have run before this VM got
+// the request.
+func (x *requestState) runsBefore() int {
+	if x.forwarded == nil {
+		return 0
+	}
+	return x.forwarded.Runs
+}
+
 // from returns the name of the VM that forwarded the request; empty for none.
 func (x *requestState) from() string {
 	if x.forwarded == nil {
--- a/internal/edge/models.go
+++ b/internal/edge/models.go
@@ -56,7 +56,7 @@
 	current := modelchoice.Answer{Confidence: a.head.Confidence, TimeLeft: x.timeToTarget(now)}
 	options, names := p.options(now, x, a)
 	best, ok := modelchoice.Escalate(current, options)
-	if !ok {
+	if !ok || x.proxy.stop.Load().outlasts(now, streamHeadTimeoutFactor*options[best].FirstToken) {
 		return false
 	}
 	if !x.proxy.budget.TryRetry(now, x.req.Service.Name) {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -32,8 +32,11 @@
 	callerHeader http.Header
 	// forwarded describes the request if another VM forwarded it; otherwise nil.
 	forwarded *forwardInfo
-	// elsewhere is true if this VM refuses a forwarded request that other VMs may serve.
-	elsewhere bool
+	// elsewhere is true if this VM refuses a forwarded request that other VMs may serve,
+	// and stopped if it gave one up after a run because it stops.
+	elsewhere, stopped bool
+	// outlastVM lets the request go on until the end of a planned stop.
+	outlastVM func() bool
 	// configVersion is the version of the configuration that admitted or refused the
 	// request; zero if none was loaded.
 	configVersion uint64
@@ -83,13 +86,20 @@
 
 // callerGone reports whether the caller has disconnected.
 func (x *requestState) callerGone() bool {
-	return x.ctx.Err() != nil && time.Now().Before(x.req.Deadline)
+	return x.ctx.Err() != nil && !x.vmStopping() && time.Now().Before(x.req.Deadline)
 }
 
+// reasonVMStopping is the reason why a request is not sent: this VM stops before the
+// response is expected.
+const reasonVMStopping fleet.Reason = "vm_stopping"
+
 // nextAttempt sends the request to the next upstream, or to another VM while this one
 // reaches no upstream of the service. It returns nil if there is none. The upstream is
 // chosen for pickModel; empty for any.
 func (x *requestState) nextAttempt(pickModel, model string, headTimeout func(*fleet.Pick) time.Duration) (*attempt, fleet.Reason) {
+	if x.vmStopping() {
+		return nil, reasonVMStopping
+	}
 	if a := x.forward(); a != nil {
 		return a, ""
 	}
@@ -103,6 +113,11 @@
 	if pick == nil {
 		return nil, reason
 	}
+	if x.vmStopping() || x.proxy.stop.Load().outlasts(time.Now(), pick.ExpectedLatency) {
+		x.release(&reservation{pick: pick, conn: x.conn}, fleet.OutcomeNeutral)
+		x.conn = nil
+		return nil, reasonVMStopping
+	}
 	return x.sendAttempt(pick, model, headTimeout(pick)), ""
 }
 
@@ -219,7 +234,7 @@
 	d := retry.Decide(retry.Facts{
 		Idempotent: x.req.Route.RetryPolicy == routing.Idempotent, NotRun: a.attemptStatus.NotRun(),
 		Runs: x.runs, MaxRuns: x.req.Route.MaxRuns, Attempts: len(x.tried),
-		TimeLeft: x.req.Deadline.Sub(now), CallerCanceled: x.ctx.Err() != nil,
+		TimeLeft: x.req.Deadline.Sub(now), CallerCanceled: x.ctx.Err() != nil, VMStopping: x.vmStopping(),
 	})
 	if d == retry.Again && x.isContentBlocked() {
 		d = retry.ContentBlocked
@@ -237,6 +252,10 @@
 
 // respondNoUpstream responds to a request for which no upstream is available.
 func (x *requestState) respondNoUpstream(reason fleet.Reason) {
+	if reason == reasonVMStopping || x.vmStopping() {
+		x.respondStopping(string(reasonVMStopping))
+		return
+	}
 	if x.sendFallback() {
 		return
 	}
@@ -263,6 +282,8 @@
 	switch {
 	case x.callerGone():
 		x.endCallerGone()
+	case x.vmStopping():
+		x.respondStopping(a.attemptStatus.String())
 	case x.sendFallback():
 	case x.runs == 0 && x.blockedFor > 0:
 		x.respondError(x.contentBlockedError(), a.attemptStatus.String())
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -40,11 +40,14 @@
 	metrics      *Metrics
 	config       atomic.Pointer[routing.Config]
 	stop         atomic.Pointer[stopPlan] // nil until a planned stop begins
-	isolation    isolation
-	forwarder    *forwarder
-	rooms        *roomQueue
-	bodies       *byteBudget
-	undecided    undecidedCrashes
+	// lastAnswers ends when requests get their last answer in a planned stop.
+	lastAnswers      context.Context
+	beginLastAnswers context.CancelFunc
+	isolation        isolation
+	forwarder        *forwarder
+	rooms            *roomQueue
+	bodies           *byteBudget
+	undecided        undecidedCrashes
 
 	mu     sync.Mutex // guards canary, poison and gains
 	canary *canary.Core
@@ -75,9 +78,13 @@
 		x.finishRequest()
 		return
 	}
-	var cancel context.CancelFunc
-	x.ctx, cancel = context.WithDeadline(r.Context(), x.req.Deadline)
-	defer cancel()
+	deadlineCtx, cancelDeadline := context.WithDeadline(r.Context(), x.req.Deadline)
+	defer cancelDeadline()
+	var cancel context.CancelCauseFunc
+	x.ctx, cancel = context.WithCancelCause(deadlineCtx)
+	defer cancel(nil)
+	x.outlastVM = x.endWithVM(cancel)
+	defer x.outlastVM()
 	defer x.dropReservation()
 	if x.req.Route.Stream {
 		x.serveStream()
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -105,7 +105,7 @@
 // forwardAttempt forwards the response of an attempt to the caller.
 func (st *streamState) forwardAttempt(a *attempt) streamResult {
 	if a.finalError {
-		if st.headSent || !st.passFinalError(a) {
+		if st.headSent || a.vmStopped || !st.passFinalError(a) {
 			return streamBroken // after the head, any other VM or upstream may go on
 		}
 		return streamDone
@@ -146,6 +146,7 @@
 // sendHead sends the head of the response to the caller.
 func (st *streamState) sendHead(a *attempt) {
 	st.headSent = true
+	st.outlastVM() // only the end of the stream is missing
 	copyHeader(st.w.Header(), a.head.Header)
 	st.w.WriteHeader(a.head.Status)
 	st.status = a.head.Status
--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -99,17 +99,19 @@
 // causes maps each outcome to its explanation. Some explanations name the log lines
 // that help to find the cause.
 var causes = map[string]string{
-	"answered":          "An upstream's response was forwarded to the caller.",
-	"caller_gone":       "The caller disconnected, or its deadline passed, before the response was complete.",
-	"stream_cut":        "The stream was interrupted and could not be resumed; the connection was closed so that the caller can tell that the response is truncated.",
-	"no_upstream":       "No upstream could accept the request; 'because' gives the reason, the fleet lines show the known upstreams and their state.",
-	"overloaded":        "Every upstream that was tried rejected the request or was unreachable; the request did not run.",
-	"upstream_failed":   "The request may have run at an upstream, which sent no complete response; the request could not be retried.",
-	"deadline_exceeded": "The route's timeout or the caller's deadline passed without a response.",
-	"unauthenticated":   "The caller's key is not in the active configuration; check the version in the config lines.",
-	"unknown_path":      "No route of the active configuration matches this host and path; check the version in the config lines.",
-	"not_ready":         "The VM had not received a configuration yet; the catalog lines show whether it could reach the store.",
-	"body_too_large":    "The request body exceeds the size limit of the configuration.",
+	"answered":              "An upstream's response was forwarded to the caller.",
+	"caller_gone":           "The caller disconnected, or its deadline passed, before the response was complete.",
+	"stream_cut":            "The stream was interrupted and could not be resumed; the connection was closed so that the caller can tell that the response is truncated.",
+	"no_upstream":           "No upstream could accept the request; 'because' gives the reason, the fleet lines show the known upstreams and their state.",
+	"overloaded":            "Every upstream that was tried rejected the request or was unreachable; the request did not run.",
+	"upstream_failed":       "The request may have run at an upstream, which sent no complete response; the request could not be retried.",
+	"stopped_before_answer": "The VM stopped before the upstream's response was complete; the request may have run.",
+	"draining":              "The VM was stopping and refused the request, which did not run here.",
+	"deadline_exceeded":     "The route's timeout or the caller's deadline passed without a response.",
+	"unauthenticated":       "The caller's key is not in the active configuration; check the version in the config lines.",
+	"unknown_path":          "No route of the active configuration matches this host and path; check the version in the config lines.",
+	"not_ready":             "The VM had not received a configuration yet; the catalog lines show whether it could reach the store.",
+	"body_too_large":        "The request body exceeds the size limit of the configuration.",
 }
 
 // Print writes the report as text.
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -77,6 +77,8 @@
 	// AnswerNotStored: the request ran under this key, but its response was not stored, so
 	// only its status can be repeated.
 	AnswerNotStored Code = 1210
+	// StoppedBeforeAnswer: the VM stops, and the upstream's response is not complete.
+	StoppedBeforeAnswer Code = 1211
 )
 
 // Codes of documents and operators (2000 to 2099).
@@ -185,6 +187,8 @@
 	AnswerMismatch:   {"answer_mismatch", http.StatusBadGateway, Ran, time.Second},
 	AnswerNotStored:  {"answer_not_kept", http.StatusOK, Ran, 0},
 
+	StoppedBeforeAnswer: {"stopped_before_answer", http.StatusBadGateway, Unknown, 100 * time.Millisecond},
+
 	DocumentInvalid:     {"document_invalid", http.StatusUnprocessableEntity, NotRun, 0},
 	DocumentConflict:    {"document_conflict", http.StatusConflict, NotRun, 0},
 	DocumentUnsupported: {"document_unsupported", http.StatusConflict, NotRun, 0},
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -15,6 +15,7 @@
 	MaxAttemptsReached Decision = "enough_tries"
 	DeadlineTooClose   Decision = "no_time"
 	CallerCanceled     Decision = "caller_gone"
+	VMStopping         Decision = "vm_stopping"
 	BudgetExhausted    Decision = "over_budget"
 	ContentBlocked     Decision = "crashes_upstreams"
 )
@@ -47,12 +48,16 @@
 	Attempts       int
 	TimeLeft       time.Duration
 	CallerCanceled bool
+	// VMStopping is true if the request ends because this VM stops.
+	VMStopping bool
 }
 
 // Decide returns whether the request is sent again. A request that may not run
 // more than once is sent again only if all earlier attempts certainly did not run.
 func Decide(f Facts) Decision {
 	switch {
+	case f.VMStopping:
+		return VMStopping
 	case f.CallerCanceled:
 		return CallerCanceled
 	case f.TimeLeft < minAttemptTime:
