catalog: A change whose answers are lost for all VMs at once is noticed

What callers saw: routes that had been added refused with 404 (1008) and dropped ones still served, at all VMs within milliseconds of each other, up to 8.1 s after the change was confirmed (CONFIG). The users' record has this pattern; it names no cause.

Cause: a change makes the store answer the watches of all VMs at the same moment. If these answers are lost, the connections stay silent, each VM waits to the end of its watch, and no VM can tell another. The answers to the watch of upstreams, which go on, said nothing of it.

If the watch of upstreams shows a revision that no watch has delivered a second later, the other watches are repeated, at most every 2 to 28 s while that brings nothing.

TestWatchesOfAllVMsFallSilentAtOnce failed for both kinds before.

The stand-in's answers without changes carry the current revision now, as the users' store does (read from a trial on a copy).

--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -56,6 +56,7 @@
 	// confirmedAt is when the prober last received a response. It is set just before
 	// the response is applied.
 	confirmedAt time.Time
+	missed missedChanges
 	// peerProbeAt is when another VM's confirmation last triggered a probe.
 	peerProbeAt time.Time
 }
@@ -193,6 +194,13 @@
 	return w == g.prober || g.failingSince.IsZero() && !g.unproven
 }
 
+// isProber reports whether a watcher is the prober.
+func (g *Group) isProber(w *Watcher) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return w == g.prober
+}
+
 // isUnproven reports whether the prober's first response since SetMode(Watching) is
 // still missing.
 func (g *Group) isUnproven() bool {
@@ -327,6 +335,7 @@
 		klog.InfoS("catalog: the store began a new era; it came back from an older copy", "kind", kind, "era", EraOf(revision), "before", EraOf(before))
 	}
 	g.handlers[kind].Replace(merge(), newEra)
+	g.recordListed(kind, revision)
 	if newEra {
 		g.restartEarlierEras()
 	}
@@ -336,7 +345,9 @@
 func (g *Group) apply(kind Kind, changes []Change, revision uint64) {
 	g.applyMu.Lock()
 	defer g.applyMu.Unlock()
-	if fresh := g.cache.Apply(kind, changes, revision); len(fresh) > 0 {
+	fresh := g.cache.Apply(kind, changes, revision)
+	g.recordSeen(kind, changes, len(fresh))
+	if len(fresh) > 0 {
 		g.handlers[kind].Apply(fresh)
 	}
 }
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -186,6 +186,9 @@
 	}
 	w.callSucceeded()
 	w.group.apply(w.kind, changes, revision)
+	if w.group.isProber(w) {
+		w.group.proberReached(revision)
+	}
 	if len(changes) > 0 {
 		w.sleep(ctx, w.batchDelay())
 	}
--- a/internal/edge/peers_test.go
+++ b/internal/edge/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -42,6 +43,38 @@
 	}
 }
 
+// Guards against changes that no VM follows, because the store's answers to the watches of
+// one kind were lost for all VMs at the same moment: none can tell the others.
+func TestWatchesOfAllVMsFallSilentAtOnce(t *testing.T) {
+	for _, kind := range []string{"config", "evacuations"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			s := newStandardSite(t)
+			for i := 2; i <= 4; i++ {
+				s.startVM(fmt.Sprint("vm-", i))
+			}
+			time.Sleep(4 * time.Second) // longer than VMs that do not know each other wait
+			s.store.SilenceWatches(kind)
+			key, want := "key-2", http.StatusOK
+			if kind == "config" {
+				s.configure(routes(), key)
+			} else {
+				key, want = "key-1", http.StatusServiceUnavailable
+				s.store.Put("evacuations", "a", map[string]any{})
+			}
+			// stabilityWindow and maxConfigApplyTime of the site's bounds
+			assert.Eventually(t, func() bool {
+				for i, e := range s.vms {
+					if s.doAt(e, call{id: fmt.Sprint("new-", i), path: "/look/x", key: key}).status != want {
+						return false
+					}
+				}
+				return true
+			}, 5*time.Second, 50*time.Millisecond)
+		})
+	}
+}
+
 // In a zone of six or more VMs, three watch the store and relay changes to the
 // others. A configuration must be applied on every VM within its time limit,
 // even if most VMs, including watching ones, stop just before it.
--- a/internal/fake/platformside/store.go
+++ b/internal/fake/platformside/store.go
@@ -384,7 +384,7 @@
 		case <-r.Context().Done():
 			return
 		case <-timeout:
-			writeJSON(w, http.StatusOK, map[string]any{"events": []storeEvent{}, "at": after})
+			writeJSON(w, http.StatusOK, map[string]any{"events": []storeEvent{}, "at": revision})
 			return
 		case <-changed:
 		}
--- a/internal/fake/sitesoak/schedule.go
+++ b/internal/fake/sitesoak/schedule.go
@@ -26,6 +26,7 @@
 	"store_link":    (*harness).disturbStoreLink,
 	"store_fault":   (*harness).injectStoreFault,
 	"store_silent":  (*harness).silenceStoreConns,
+	"lost_change":   (*harness).loseChange,
 	"compact":       (*harness).compactStore,
 	"replica_link":  (*harness).disturbReplicaLink,
 	"replica_fault": (*harness).injectReplicaFault,
@@ -46,19 +47,23 @@
 	"replica_fault", "replica_fault", "replica_fault", "replica_fault", "replica_link", "store_fault",
 }
 
-// silentShare is the number of steps of a schedule for each store_silent step beside them.
-// It has a random source of its own, so that it does not change the schedule of a seed.
+// silentShare is the number of steps of a schedule for each store_silent and each
+// lost_change step beside them. These have random sources of their own, so that they do
+// not change the schedule of a seed.
 const silentShare = 24
 
 // runSchedule starts random steps until end, some of them concurrently, and waits
 // until all have returned.
 func (h *harness) runSchedule(end time.Time) {
 	var wg sync.WaitGroup
-	silent := rand.New(rand.NewPCG(h.opts.Seed, 13))
+	silent, lost := rand.New(rand.NewPCG(h.opts.Seed, 13)), rand.New(rand.NewPCG(h.opts.Seed, 17))
 	for time.Now().Before(end) {
 		if len(h.opts.Steps) == 0 && silent.IntN(silentShare) == 0 {
 			h.silenceStoreConns(silent, 0)
 		}
+		if len(h.opts.Steps) == 0 && lost.IntN(silentShare) == 0 {
+			h.loseChange(lost, 0)
+		}
 		name := weightedSteps[h.rng.IntN(len(weightedSteps))]
 		if len(h.opts.Steps) > 0 {
 			name = h.opts.Steps[h.rng.IntN(len(h.opts.Steps))]
@@ -183,6 +188,15 @@
 	}
 }
 
+// loseChange changes the configuration, and the store's responses to all watches of it are
+// lost, for all VMs at the same moment.
+func (h *harness) loseChange(rng *rand.Rand, duration time.Duration) {
+	h.recordEvent("the next change of the configuration is lost")
+	h.recordStoreFault()
+	h.store.SilenceWatches("config")
+	h.changeRoutes(rng, duration)
+}
+
 func (h *harness) injectStoreFault(rng *rand.Rand, duration time.Duration) {
 	f := []platformside.StoreFaults{
 		{Status: 503}, {Status: 429}, {Silent: true}, {Reset: true}, {LoseWrites: 0.5}, {Delay: 200 * time.Millisecond},
