--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -261,7 +261,8 @@
 	defer c.mu.Unlock()
 	s := c.kind(kind)
 	out := make([]Change, 0, len(changes))
-	for _, change := range changes {
+	for i, change := range changes {
+		change = s.datedDeletion(change, changes[i+1:], revision)
 		if change.Deleted && s.remove(change.Object) || !change.Deleted && !s.isDeleted(change.Object) && s.put(change.Object) {
 			out = append(out, change)
 		}
@@ -271,6 +272,20 @@
 	return out
 }
 
+// datedDeletion returns a deletion with a revision of its own. The store may send one with
+// the revision of the object's last change; it happened later, at the latest at the revision
+// up to which the changes are known. Without that, no other VM would notice it. A later
+// change of the same object says more.
+func (s *kindState) datedDeletion(change Change, later []Change, revision uint64) Change {
+	known, found := s.objects[change.Object.Name]
+	if !change.Deleted || !found || known.Revision != change.Object.Revision || revision <= known.Revision ||
+		slices.ContainsFunc(later, func(l Change) bool { return l.Object.Name == change.Object.Name }) {
+		return change
+	}
+	change.Object.Revision = revision
+	return change
+}
+
 // UpdateSince returns an update for a VM whose copy is complete up to a revision.
 // It returns false if the kind was never listed here, or if only a full list
 // would do and allowFull is false.
--- a/internal/catalog/cache_test.go
+++ b/internal/catalog/cache_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -184,3 +185,23 @@
 	assert.Equal(t, from.LatestRevisions(), to.LatestRevisions())
 	assert.Equal(t, from.CompleteRevision(Upstreams), to.CompleteRevision(Upstreams))
 }
+
+// Guards against deletions that other VMs never hear of, because the store sends them with
+// the revision of the object's last change.
+func TestDeletionWithTheRevisionOfTheLastChange(t *testing.T) {
+	reader, other := NewCache(), NewCache()
+	for _, c := range []*Cache{reader, other} {
+		c.Replace(Upstreams, []Object{{Name: "a", Revision: 5}, {Name: "b", Revision: 8}}, 8)
+	}
+	deletion := Change{Object: Object{Name: "a", Revision: 5}, Deleted: true}
+	assert.Len(t, reader.Apply(Upstreams, []Change{deletion}, 9), 1)
+	assert.Greater(t, reader.LatestRevisions()[slices.Index(Kinds, Upstreams)], uint64(8))
+	u, ok := reader.UpdateSince(Upstreams, 8, false)
+	assert.True(t, ok)
+	assert.Contains(t, u.Deletions, "a")
+	again := []Change{deletion, {Object: Object{Name: "a", Revision: 9}}}
+	assert.Len(t, other.Apply(Upstreams, again, 9), 2, "it was created again")
+	assert.Equal(t, uint64(9), other.CompleteRevision(Upstreams))
+	_, deleted := other.kind(Upstreams).tombstones["a"]
+	assert.False(t, deleted)
+}
