--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -56,7 +56,7 @@
 	// confirmedAt is when the prober last received a response. It is set just before
 	// the response is applied.
 	confirmedAt time.Time
-	missed missedChanges
+	missed      missedChanges
 	// peerProbeAt is when another VM's confirmation last triggered a probe.
 	peerProbeAt time.Time
 }
