canary, edge: The target of a roll-out that was not completed is no old version

What callers would see: answers of a version that was reverted, at all VMs, for as long as its upstreams go on (EXPOSURE).

Cause: each version but the target of the current order counted as old. An order for a third version while the upstreams of the reverted one are still there sent requests to it again, without a bound; so did the deletion of the roll-out at a VM that knew no usual version. A VM that got the list of roll-outs last took both versions for the usual ones, and kept that.

Change: targets of roll-outs that were not completed are used only if no other version is listed.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -5,6 +5,7 @@
 package canary
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -96,6 +97,12 @@
 	references     map[string]*reference // by service and work
 	// replacedTargets holds, by service, the targets of earlier roll-outs.
 	replacedTargets map[string]map[string]bool
+	// abandoned holds, by service, the targets of earlier roll-outs that were not
+	// completed. Their upstreams may go on for some time.
+	abandoned map[string]map[string]bool
+	// unlisted is true while the roll-outs that exist are not known: a version may be the
+	// target of one of them.
+	unlisted bool
 	// restoredUntil is the end of the time after StoreRestored in which roll-outs to
 	// replaced targets are ignored.
 	restoredUntil time.Time
@@ -114,9 +121,17 @@
 		stableVersions: make(map[string]map[string]bool), sessions: newSessions(sessionTTL),
 		references:      make(map[string]*reference),
 		replacedTargets: make(map[string]map[string]bool),
+		abandoned:       make(map[string]map[string]bool),
 	}
 }
 
+// AwaitRollOuts records that the roll-outs that exist are not known yet, and RollOutsListed
+// that they are.
+func (c *Core) AwaitRollOuts() { c.unlisted = true }
+
+// RollOutsListed ends AwaitRollOuts.
+func (c *Core) RollOutsListed() { c.unlisted = false }
+
 // StoreRestored records that the store came back from an older copy.
 func (c *Core) StoreRestored(now time.Time) { c.restoredUntil = now.Add(rewriteTimeout) }
 
@@ -130,6 +145,7 @@
 			return false
 		}
 		c.recordReplaced(r)
+		delete(c.abandoned[o.Service], o.NewVersion) // operators try it again
 		c.rollOuts[o.Service] = &rollOutState{rollOut: o, storedPhase: o.Phase, startedAt: now, revertedAt: now, rampStart: trialEnd, countersByIncarnation: map[string]Counters{c.incarnation: newCounters()}}
 		return true
 	}
@@ -149,12 +165,30 @@
 	if r == nil {
 		return
 	}
-	targets := c.replacedTargets[r.rollOut.Service]
-	if targets == nil {
-		targets = make(map[string]bool)
-		c.replacedTargets[r.rollOut.Service] = targets
+	addTarget(c.replacedTargets, r.rollOut)
+	if r.rollOut.Phase != Completed {
+		addTarget(c.abandoned, r.rollOut)
+	}
+}
+
+func addTarget(targets map[string]map[string]bool, o RollOut) {
+	if targets[o.Service] == nil {
+		targets[o.Service] = make(map[string]bool)
 	}
-	targets[r.rollOut.NewVersion] = true
+	targets[o.Service][o.NewVersion] = true
+}
+
+// accepted returns a function that reports whether a version may be used as an old one: it
+// is not the target, and no abandoned one. If no other is listed, abandoned ones are used
+// nevertheless: this VM may have missed the end of their roll-out.
+func (c *Core) accepted(service, target string, versions []string) func(version string) bool {
+	abandoned := c.abandoned[service]
+	isOld := func(v string) bool { return v != target }
+	isUsual := func(v string) bool { return v != target && !abandoned[v] }
+	if len(abandoned) > 0 && slices.ContainsFunc(versions, isUsual) {
+		return isUsual
+	}
+	return isOld
 }
 
 // RemoveRollOut removes a roll-out that operators have deleted.
@@ -197,7 +231,7 @@
 	}
 	target := r.rollOut.NewVersion
 	isNew := func(v string) bool { return v == target }
-	isOld := func(v string) bool { return v != target }
+	isOld := c.accepted(service, target, versions)
 	switch {
 	case r.rollOut.Phase == Completed:
 		return Rule{Preferred: isNew, Fallback: isOld, Reason: "completed"}
@@ -234,7 +268,7 @@
 
 // stableRule allows only the versions that were listed first, because a new version
 // may be listed before its roll-out is. If none of them is listed any more, the
-// versions that are listed now replace them.
+// versions that are listed now replace them, without abandoned ones.
 func (c *Core) stableRule(service string, versions []string) Rule {
 	stable := c.stableVersions[service]
 	anyListed := false
@@ -243,10 +277,15 @@
 	}
 	if !anyListed {
 		stable = make(map[string]bool, len(versions))
+		accepted := c.accepted(service, "", versions)
 		for _, v := range versions {
-			stable[v] = true
+			if accepted(v) {
+				stable[v] = true
+			}
+		}
+		if !c.unlisted {
+			c.stableVersions[service] = stable
 		}
-		c.stableVersions[service] = stable
 	}
 	return Rule{Preferred: func(v string) bool { return stable[v] }, Reason: "settled"}
 }
--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -114,6 +114,7 @@
 
 		forwarder: newForwarder(o.Settings.Name, o.Settings.Zone, o.Settings.RegionByZone),
 	}
+	s.canary.AwaitRollOuts()
 	s.lastAnswers, s.beginLastAnswers = context.WithCancel(context.Background())
 	follower := NewFollower(s, o, time.Now())
 	o.Metrics.registerGauges(s, follower)
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -243,6 +243,10 @@
 		f.proxy.mu.Unlock()
 	}
 	f.applyEach(list, f.applyRollOut)
+	f.proxy.mu.Lock()
+	f.proxy.canary.RollOutsListed()
+	f.proxy.mu.Unlock()
+	f.readiness.rollOutsLoaded()
 }
 
 func (f *Follower) applyRollOut(o catalog.Object) {
--- a/internal/fake/platformside/store.go
+++ b/internal/fake/platformside/store.go
@@ -36,6 +36,8 @@
 	LoseWrites float64
 	// Delay is the time to wait before every response.
 	Delay time.Duration
+	// RefusedKind is a kind whose lists and watches get a 503; empty for none.
+	RefusedKind string
 }
 
 // Object is a stored object in its wire format.
@@ -273,6 +275,9 @@
 		case f.Status != 0:
 			w.WriteHeader(f.Status)
 			return
+		case f.RefusedKind != "" && strings.HasPrefix(r.URL.Path, objectsPath+"/"+f.RefusedKind):
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		}
 		time.Sleep(f.Delay)
 		if r.Method != http.MethodGet && rand.Float64() < f.LoseWrites {
