--- a/internal/edge/rollout_test.go
+++ b/internal/edge/rollout_test.go
@@ -117,3 +117,62 @@
 	}
 	return "in_progress"
 }
+
+// Guards against requests that reach a version after the verdict on it, because they were
+// waiting, retried, forwarded or resumed meanwhile.
+func TestRequestsGoOnToARevertedVersion(t *testing.T) {
+	for name, faults := range map[string]platformside.ReplicaFaults{
+		"failures":     {Fail: true, Delay: 300 * time.Millisecond},
+		"lost answers": {LoseAnswer: true, Delay: 300 * time.Millisecond},
+		"torn streams": {Torn: true, Pause: 300 * time.Millisecond},
+		"limits":       {Fail: true, Limit: "20", Delay: 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := &cutDialer{}
+			s := newCutSite(t, 3, 1, d)
+			for i := range 3 {
+				id := fmt.Sprint("new", i)
+				s.listenReplica(id)
+				s.putEntry(id, engine, s.addresses[id], map[string]any{"version": "v2"})
+			}
+			s.setFaults("new", faults)
+			s.store.Put("rollouts", engine, map[string]any{"service": engine, "target": "v2", "durationS": 60})
+			d.cut.Store(true)
+			var load sync.WaitGroup
+			end := make(chan struct{})
+			for caller := range 18 {
+				load.Go(func() {
+					for i := 0; ; i++ {
+						select {
+						case <-end:
+							return
+						default:
+						}
+						c := chat(fmt.Sprint(caller, "-", i))
+						c.header["Session"] = c.id
+						s.doAt(s.vms[caller%3], c)
+					}
+				})
+			}
+			assert.Eventually(t, func() bool { return s.rollOutState(engine) == "reverted" }, 12*time.Second, 10*time.Millisecond)
+			revertedAt := time.Now()
+			time.Sleep(2 * time.Second)
+			close(end)
+			load.Wait()
+			late, all := 0, 0
+			for id, p := range s.replicas {
+				for _, run := range p.Runs() {
+					if strings.HasPrefix(id, "new") {
+						all++
+					}
+					if strings.HasPrefix(id, "new") && run.StartedAt.After(revertedAt.Add(300*time.Millisecond)) {
+						late++
+					}
+				}
+			}
+			assert.NotZero(t, all)
+			assert.Zero(t, late, "of %d requests to the version", all)
+		})
+	}
+}
