gossip, poison: A VM that starts is told at once what is blocked

Cause: suspects are sent once a second, and blocked ones every 5 s. Change: when a VM appears, all blocked content is due and is sent to it with the state that it gets within 20 ms anyway, in a datagram of its own; none if nothing is blocked.

TestBlockedContentIsUnknownAtAVMThatStarts failed before: 3 VMs that start while the store refuses the records, of which at least one let an upstream crash.

--- a/internal/edge/blockedstore_test.go
+++ b/internal/edge/blockedstore_test.go
@@ -56,6 +56,27 @@
 	assert.LessOrEqual(t, c.store.CallCount("write")-writes, 1, "what is stored is not written again")
 }
 
+// Guards against content that crashes upstreams again at a VM that has just started, while
+// the store does not give the records, because the other VMs tell of it in turn only.
+func TestBlockedContentIsUnknownAtAVMThatStarts(t *testing.T) {
+	c := newCrashingFleet(t, 6, 2, platformside.ReplicaFaults{DeadlyBody: "deadly"})
+	for i := range 4 {
+		c.do(deadlyCall(fmt.Sprint("deadly-", i)))
+		time.Sleep(300 * time.Millisecond)
+	}
+	time.Sleep(11 * time.Second) // no longer told as a change
+	crashes := c.crashCount()
+	c.store.SetFaults(platformside.StoreFaults{RefusedKind: blockedKind})
+	for i := range 3 {
+		c.startVM(fmt.Sprint("later-", i))
+		time.Sleep(300 * time.Millisecond)
+		g := c.doAt(c.vms[len(c.vms)-1], deadlyCall(fmt.Sprint("again-", i)))
+		assert.Equal(t, 503, g.status)
+		assert.Contains(t, g.body, `"code":1110`)
+	}
+	assert.Equal(t, crashes, c.crashCount(), "no upstream crashes again")
+}
+
 // Guards against VMs that stop serving, because the records of blocked content are
 // damaged or of another build.
 func TestDamagedRecordsOfBlockedContent(t *testing.T) {
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -180,6 +180,13 @@
 	return s.poison.Share(now)
 }
 
+// shareBlockedAgain makes the blocked content due to be sent to a VM that has started.
+func (s *Proxy) shareBlockedAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.poison.ShareAgain()
+}
+
 // blockedContents returns the number of blocked contents, for the metrics.
 func (s *Proxy) blockedContents() float64 {
 	s.mu.Lock()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -16,6 +16,7 @@
 		IsUrgent:        s.isUrgent,
 		ConfigVersion:   s.configVersion,
 		Suspects:        s.suspects,
+		PeerAppeared:    s.shareBlockedAgain,
 		Departures:      s.fleet.RecentDepartures,
 		Unreachable:     s.forwarder.reportedServices,
 		Stopping:        func() bool { return s.stop.Load() != nil },
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -150,6 +150,7 @@
 			IsUrgent:      func(time.Time) bool { return false },
 			ConfigVersion: func() uint64 { return 7 },
 			Suspects:      func(time.Time) []poison.Suspect { return nil },
+			PeerAppeared:  func() {},
 			Departures:    func(time.Time) []fleet.Departure { return []fleet.Departure{{Upstream: "u2", Incarnation: 4}} },
 			Limits:        func(time.Time) []fleet.LimitReport { return nil },
 			Brittle: func(time.Time) []fleet.BrittleReport {
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -57,7 +57,9 @@
 	IsUrgent      func(now time.Time) bool
 	ConfigVersion func() uint64
 	Suspects      func(now time.Time) []poison.Suspect
-	Departures    func(now time.Time) []fleet.Departure
+	// PeerAppeared is called when a VM has appeared that knows no suspects.
+	PeerAppeared func()
+	Departures   func(now time.Time) []fleet.Departure
 	// Unreachable returns the services of which this VM reaches no upstream.
 	Unreachable func() []string
 	// Stopping reports whether this VM is about to stop.
@@ -169,7 +171,7 @@
 	var lastSent, lastMembers time.Time
 	startedAt := time.Now()
 	busy := false
-	s.round(startedAt, nil, false) // makes the other VMs send their state early; see Core.HasNewPeers
+	s.round(startedAt, nil, false, false) // makes the other VMs send their state early; see Core.HasNewPeers
 	for {
 		select {
 		case <-ctx.Done():
@@ -185,7 +187,8 @@
 		interval := s.membersInterval(now, startedAt)
 		// After the last request, busy causes one more datagram, which shows that no
 		// request is in flight.
-		due := len(loads) > 0 || busy || now.Sub(lastSent) >= min(heartbeatInterval, interval) || s.hasNewPeers()
+		newPeers := s.hasNewPeers()
+		due := len(loads) > 0 || busy || now.Sub(lastSent) >= min(heartbeatInterval, interval) || newPeers
 		busy = len(loads) > 0
 		if !due {
 			continue
@@ -195,7 +198,10 @@
 			lastMembers = now
 		}
 		lastSent = now
-		s.round(now, loads, withMembers)
+		if newPeers {
+			s.callbacks.PeerAppeared()
+		}
+		s.round(now, loads, withMembers, newPeers)
 	}
 }
 
@@ -217,9 +223,9 @@
 }
 
 // round sends one datagram to each target. With withMembers, the datagram also
-// contains members and roll-outs, and suspects follow in one of their own: they
-// must not displace the rest, nor the rest them.
-func (s *Service) round(now time.Time, loads []fleet.VMLoad, withMembers bool) {
+// contains members and roll-outs. With that or newPeers, suspects follow in one of their
+// own: they must not displace the rest, nor the rest them.
+func (s *Service) round(now time.Time, loads []fleet.VMLoad, withMembers, newPeers bool) {
 	m := Message{
 		From: s.self, Loads: loads, ConfigVersion: s.callbacks.ConfigVersion(), Digest: s.callbacks.Digest(now),
 		Departures: s.callbacks.Departures(now), Unreachable: s.callbacks.Unreachable(), Stopping: s.callbacks.Stopping(),
@@ -237,6 +243,8 @@
 	if withMembers {
 		s.reportMembership(now)
 		m.RollOuts = s.callbacks.RollOuts(now)
+	}
+	if withMembers || newPeers {
 		if suspects := s.callbacks.Suspects(now); len(suspects) > 0 {
 			s.sendTo(targets, Message{From: s.self, Suspects: suspects, Unreachable: m.Unreachable, Stopping: m.Stopping})
 		}
--- a/internal/poison/share.go
+++ b/internal/poison/share.go
@@ -61,6 +61,16 @@
 	return out
 }
 
+// ShareAgain makes all blocked content due to be sent: a VM has started that does not know
+// it.
+func (c *Core) ShareAgain() {
+	for _, s := range c.suspects {
+		if s.blocked {
+			s.sharedAt = time.Time{}
+		}
+	}
+}
+
 // toShare returns the keys with the most crashes, and others in turn.
 func (c *Core) toShare(now time.Time) []Key {
 	list := make([]sharedSuspect, 0, len(c.suspects))
