--- a/internal/edge/stopanswers_test.go
+++ b/internal/edge/stopanswers_test.go
@@ -95,23 +95,31 @@
 	assert.Less(t, time.Since(begin), 100*time.Millisecond+stopGrace)
 }
 
+// newSlowForwardingSite returns a site with slow replicas, whose first VM reaches no upstream
+// and forwards its requests to the second.
+func newSlowForwardingSite(t *testing.T) *site {
+	t.Helper()
+	d := &cutDialer{}
+	s := newSite(t)
+	s.grace = stopGrace
+	s.dial["vm-1"] = d.dial
+	s.startDefaultsWith(slowRoutes())
+	s.startVM("vm-2")
+	time.Sleep(time.Second) // the VMs get to know each other
+	d.cut.Store(true)
+	s.do(call{id: "warm-1", path: "/look/x", key: key})
+	s.do(chat("warm-2"))
+	s.setFaults("", platformside.ReplicaFaults{Delay: 6 * time.Second})
+	return s
+}
+
 // Guards against forwarded requests that end without an answer because the VM that has
 // the caller's connection stops, or the one that has taken them.
 func TestPlannedStopCutsForwardedRequests(t *testing.T) {
 	for name, stopping := range map[string]int{"the caller's VM": 0, "the other VM": 1} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			d := &cutDialer{}
-			s := newSite(t)
-			s.grace = stopGrace
-			s.dial["vm-1"] = d.dial
-			s.startDefaultsWith(slowRoutes())
-			s.startVM("vm-2")
-			time.Sleep(time.Second) // the VMs get to know each other
-			d.cut.Store(true)
-			s.do(call{id: "warm-1", path: "/look/x", key: key})
-			s.do(chat("warm-2"))
-			s.setFaults("", platformside.ReplicaFaults{Delay: 6 * time.Second})
+			s := newSlowForwardingSite(t)
 			time.AfterFunc(100*time.Millisecond, s.vms[stopping].stop)
 			calls := append(slowCalls("a"), slowCalls("b")...)
 			for j, g := range s.doAll(s.vms[0], calls) {
@@ -126,16 +134,7 @@
 // stops, although a third one could serve them.
 func TestForwardedRequestMovesOnWhenTheOtherVMStops(t *testing.T) {
 	t.Parallel()
-	d := &cutDialer{}
-	s := newSite(t)
-	s.grace = stopGrace
-	s.dial["vm-1"] = d.dial
-	s.startDefaultsWith(slowRoutes())
-	s.startVM("vm-2")
-	time.Sleep(time.Second) // the VMs get to know each other
-	d.cut.Store(true)
-	s.do(call{id: "warm-1", path: "/look/x", key: key})
-	s.setFaults("", platformside.ReplicaFaults{Delay: 6 * time.Second})
+	s := newSlowForwardingSite(t)
 	var wait sync.WaitGroup
 	results := make([]callResult, 4)
 	for i := range results {
