edge: A VM is ready once it has tried to read what is blocked

Cause, shown by a test with a slow read of the records: nothing made a VM wait for them before it reported ready; they come some ms after the rest, or later.

TestVMIsReadyBeforeItKnowsWhatIsBlocked failed before (records 0.4 s late).

--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -142,8 +142,10 @@
 	}
 	background.Go(func() { a.proxy.probeUnreachable(backgroundCtx) })
 	if a.options.Blocked != nil {
-		keeper := &blockedKeeper{proxy: a.proxy, store: a.options.Blocked}
+		keeper := &blockedKeeper{proxy: a.proxy, store: a.options.Blocked, tried: a.follower.readiness.blockedTried}
 		background.Go(func() { keeper.run(backgroundCtx) })
+	} else {
+		a.follower.readiness.blockedTried()
 	}
 	liveInZone, err := a.startGossip(backgroundCtx, &background)
 	if err != nil {
--- a/internal/edge/blockedstore.go
+++ b/internal/edge/blockedstore.go
@@ -64,6 +64,8 @@
 type blockedKeeper struct {
 	proxy *Proxy
 	store BlockedStore
+	// tried is called after the first try to read the records.
+	tried func()
 	// known are the records as this VM last read or wrote them.
 	known     json.RawMessage
 	readAt    time.Time // when known was read or written
@@ -83,6 +85,7 @@
 			case !restored:
 				_, err = k.load(ctx)
 				restored = err == nil
+				k.tried()
 			case k.isDue(now):
 				err = k.update(ctx)
 			}
--- a/internal/edge/blockedstore_test.go
+++ b/internal/edge/blockedstore_test.go
@@ -77,6 +77,22 @@
 	assert.Equal(t, crashes, c.crashCount(), "no upstream crashes again")
 }
 
+// Guards against a VM that reports ready before it has read what is blocked, and lets
+// upstreams crash on it meanwhile.
+func TestVMIsReadyBeforeItKnowsWhatIsBlocked(t *testing.T) {
+	c := newCrashingFleet(t, 6, 1, platformside.ReplicaFaults{DeadlyBody: "deadly"})
+	for i := range 4 {
+		c.do(deadlyCall(fmt.Sprint("deadly-", i)))
+		time.Sleep(300 * time.Millisecond)
+	}
+	crashes := c.crashCount()
+	assert.Eventually(t, func() bool { _, ok := c.store.Get(blockedKind, blockedName); return ok }, waitTimeout, pollInterval)
+	c.store.SetFaults(platformside.StoreFaults{DelayedKind: blockedKind, KindDelay: 400 * time.Millisecond})
+	c.restartAll(1)
+	assert.Equal(t, 503, c.do(deadlyCall("again")).status)
+	assert.Equal(t, crashes, c.crashCount(), "no upstream crashes again")
+}
+
 // Guards against VMs that stop serving, because the records of blocked content are
 // damaged or of another build.
 func TestDamagedRecordsOfBlockedContent(t *testing.T) {
--- a/internal/fake/platformside/store.go
+++ b/internal/fake/platformside/store.go
@@ -38,6 +38,9 @@
 	Delay time.Duration
 	// RefusedKind is a kind whose lists and watches get a 503; empty for none.
 	RefusedKind string
+	// DelayedKind is a kind whose calls take KindDelay longer; empty for none.
+	DelayedKind string
+	KindDelay   time.Duration
 }
 
 // Object is a stored object in its wire format.
@@ -280,6 +283,9 @@
 			return
 		}
 		time.Sleep(f.Delay)
+		if f.DelayedKind != "" && strings.HasPrefix(r.URL.Path, objectsPath+"/"+f.DelayedKind) {
+			time.Sleep(f.KindDelay)
+		}
 		if r.Method != http.MethodGet && rand.Float64() < f.LoseWrites {
 			next.ServeHTTP(&discardWriter{header: make(http.Header)}, r)
 			<-r.Context().Done()
