--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/exchange"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
 	"github.com/cranberrypier/cranberrypier/internal/logs"
+	"github.com/cranberrypier/cranberrypier/internal/result"
 )
 
 // maxResponseBytes limits the size of a response that is not a stream, to the default
@@ -121,6 +122,7 @@
 	now := time.Now()
 	a.recordBrittle(now)
 	a.recordRateLimit(now)
+	a.recordBadLoad()
 	if a.head.Leaving && a.state.proxy.fleet.RecordLeaving(now, fleet.Departure{Upstream: a.pick.ID, Incarnation: a.pick.Incarnation}, true) {
 		klog.InfoS("fleet: the upstream announced that it is leaving", "upstream", a.pick.ID, "born", a.pick.Incarnation, "request", a.state.req.ID)
 	}
@@ -130,6 +132,19 @@
 	}
 }
 
+// recordBadLoad counts a load report that could not be parsed, and logs the first one of
+// an upstream.
+func (a *attempt) recordBadLoad() {
+	if a.head.BadLoad == "" || a.attemptStatus == exchange.Misdirected {
+		return
+	}
+	a.state.proxy.metrics.badLoads.Inc()
+	if a.state.proxy.fleet.RecordBadLoad(a.pick) {
+		klog.InfoS("fleet: the upstream reports its load in a form that cannot be parsed; it is ignored", "code", int(result.LoadInvalid),
+			"upstream", a.pick.ID, "value", a.head.BadLoad, "request", a.state.req.ID)
+	}
+}
+
 // recordNoResponse records an attempt that got no response. If dialing failed,
 // the request did not reach the upstream.
 func (a *attempt) recordNoResponse(err error) {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -32,6 +32,7 @@
 	attemptEnds *prometheus.CounterVec
 	brittle     *prometheus.CounterVec
 	limited     *prometheus.CounterVec
+	badLoads    prometheus.Counter
 	versions    *prometheus.CounterVec
 
 	blockedRecords *prometheus.CounterVec
@@ -87,12 +88,15 @@
 		}, []string{"version", "says"}),
 		brittle: newBrittleCounter(),
 		limited: newLimitedCounter(),
+		badLoads: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pier_bad_load_reports_total", Help: "Responses of upstreams whose load report could not be parsed.",
+		}),
 
 		blockedRecords: newBlockedRecordsCounter(),
 
 		routes: labelSet{maxValues: maxRouteLabels}, versionNames: labelSet{maxValues: maxVersionLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.badLoads, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration)
 	return m
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -112,6 +112,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// WorkTime is how long work takes there at this moment, as a multiple of the usual: 1
+	// is as usual, 2.5 means 2.5 times as long. It is zero if it is not reported.
+	WorkTime float64
 }
 
 // NoConfidence is the confidence of a response that does not report one.
@@ -132,8 +135,12 @@
 	RequestMismatch bool
 	// Encoded is true if the body has a content encoding, so it is not the upstream's
 	// plain body.
-	Encoded    bool
-	Load       *Load
+	Encoded bool
+	// Load is nil if the upstream reports none that can be parsed.
+	Load *Load
+	// BadLoad is what the upstream sent in place of its load; empty if it reports it, or
+	// nothing.
+	BadLoad    string
 	Confidence int
 	// ConnectionClose is true if the upstream closes the connection after the
 	// response.
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -58,6 +58,8 @@
 	load              exchange.Load
 	ownInflightAtLoad int
 	loadAt            time.Time
+	// sentBadLoad is true once a load report of the upstream could not be parsed.
+	sentBadLoad bool
 	// remoteInflight and remotePrefillMs are the sums of the loads that other VMs
 	// have reported; see vmReport.
 	remoteInflight  int
@@ -121,6 +123,19 @@
 	m.load, m.loadAt, m.ownInflightAtLoad = l, now, m.inflight
 }
 
+// RecordBadLoad records that the load report of a pick's upstream could not be parsed,
+// and reports whether it is the first one.
+func (f *Fleet) RecordBadLoad(p *Pick) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.memberOf(p)
+	if m == nil || m.sentBadLoad {
+		return false
+	}
+	m.sentBadLoad = true
+	return true
+}
+
 // otherVMsInflight estimates the other VMs' requests at this upstream from its
 // latest report of its own load, with a weight that falls with the report's age.
 func (m *member) otherVMsInflight(now time.Time) float64 {
--- a/internal/fleet/silence_test.go
+++ b/internal/fleet/silence_test.go
@@ -42,3 +42,16 @@
 		}
 	}
 }
+
+// Guards against a log that an upstream with a load report of another form fills.
+func TestBadLoadIsNewOncePerStart(t *testing.T) {
+	f := newFleet("vm", 3)
+	p := mustPick(t, f, begin, query())
+	assert.True(t, f.RecordBadLoad(p))
+	assert.False(t, f.RecordBadLoad(p))
+	u := p.Upstream
+	u.Incarnation++
+	upsert(f, begin, u)
+	assert.False(t, f.RecordBadLoad(p), "an answer of the earlier start")
+	assert.True(t, f.RecordBadLoad(&Pick{Upstream: u}))
+}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -54,6 +54,8 @@
 	BlockedRecordsInvalid Code = 1112
 	// NoBodyRoom: the VM holds as many bytes of bodies as its memory allows.
 	NoBodyRoom Code = 1113
+	// LoadInvalid: an upstream reports its load in a form that cannot be parsed.
+	LoadInvalid Code = 1116
 )
 
 // Codes of claims and delivery (1200 to 1299).
@@ -174,6 +176,7 @@
 	ContentBlocked:        {"content_blocked", http.StatusServiceUnavailable, NotRun, time.Minute},
 	RateLimitInvalid:      {"rate_limit_invalid", http.StatusServiceUnavailable, NotRun, 0},
 	BlockedRecordsInvalid: {"blocked_records_invalid", http.StatusServiceUnavailable, NotRun, 0},
+	LoadInvalid:           {"load_invalid", http.StatusServiceUnavailable, NotRun, 0},
 	NoBodyRoom:            {"no_body_room", http.StatusServiceUnavailable, NotRun, time.Second},
 
 	ClaimUnavailable: {"claim_unavailable", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
