edge: A request that arrives before the configuration waits for it

A retry met the next VM in the same state, and callers have one.

Cause: a VM without a configuration refused at once, although it gets one from its peers within about a second.

Change: the request waits for it, at most a third of the caller's timeout and 1.5 s; its body is read first. Requests of other VMs, and those at a VM that stops, are refused at once as before.

--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -110,7 +110,7 @@
 		poison: poison.New(o.Settings.Name),
 		gains:  modelchoice.NewGains(),
 		rooms:  newRoomQueue(),
-		bodies: newByteBudget(o.Settings.Limits.MemoryMB),
+		bodies: newByteBudget(o.Settings.Limits.MemoryMB), started: newStartSignal(),
 
 		forwarder: newForwarder(o.Settings.Name, o.Settings.Zone, o.Settings.RegionByZone),
 	}
--- a/internal/edge/bytebudget.go
+++ b/internal/edge/bytebudget.go
@@ -87,9 +87,9 @@
 		maxBytes = defaultMaxBodyBytes
 	}
 	switch {
-	case r.ContentLength == 0:
+	case x.bodyRead && int64(len(x.req.Body)) <= maxBytes, r.ContentLength == 0:
 		return nil
-	case r.ContentLength > maxBytes:
+	case x.bodyRead, r.ContentLength > maxBytes:
 		return result.New(result.BodyTooLarge, "the body is longer than %d bytes", maxBytes)
 	}
 	controller := http.NewResponseController(x.w)
@@ -118,7 +118,7 @@
 	case err != nil:
 		return result.New(result.BadRequest, "the body could not be read: %v", logs.Err(err))
 	}
-	x.req.Body = body
+	x.req.Body, x.bodyRead = body, true
 	return nil
 }
 
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -311,6 +311,9 @@
 		now := time.Now()
 		zone, zones := liveInZone()
 		f.updateReadDecision(now, zone, zones)
+		if f.Ready() {
+			f.proxy.started.signal()
+		}
 		f.proxy.fleet.Expire(now)
 		f.proxy.expireBrittle(now)
 		f.expireWithdrawals(now)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -42,6 +42,8 @@
 	configVersion uint64
 	// heldBytes is the room that the body has.
 	heldBytes int64
+	// bodyRead is true once the body has been read.
+	bodyRead bool
 	// counted is true once the request is counted for the retry budget, by this VM or
 	// by the one that forwarded it.
 	counted bool
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -48,6 +48,7 @@
 	rooms            *roomQueue
 	bodies           *byteBudget
 	undecided        undecidedCrashes
+	started          startSignal
 
 	mu     sync.Mutex // guards canary, poison and gains
 	canary *canary.Core
@@ -102,11 +103,10 @@
 	x.req.ReceivedAt = arrived
 	x.callerHeader = r.Header
 	x.resumeAfter = x.req.ResumeAfter
-	config := s.config.Load()
-	if config == nil {
-		x.elsewhere = true
-		return result.New(result.NotReady, "no configuration is loaded yet")
+	if e := x.awaitStart(r, caller.Timeout); e != nil {
+		return e
 	}
+	config := s.config.Load()
 	x.configVersion = config.Version
 	if e := x.refuseForwarded(); e != nil {
 		return e
