edge: Requests that find no room wait in the order of the overload stage

Change: waiting.go tries waiting requests in the stage's order; with the setting from contracts: pressure, requests also wait for cold upstreams and those that were unreachable, if room is expected in time. Result (go test -race ./internal/edge): of requests that wait for the room of three cold replicas, 3 urgent ones get it and 3 + 20 less urgent are refused as not run. The test fails with the priority taken out of the order, and if arriving requests overtake; the test of a stop, if a wait ignores its context. brittle and ratelimit tests pass unchanged.

--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -109,10 +109,11 @@
 		canary: canary.New(incarnationName(self), canary.Exposure{Share: b.ExposureShare, Tolerance: b.ExposureSlack}, b.SessionTTL),
 		poison: poison.New(o.Settings.Name),
 		gains:  modelchoice.NewGains(),
-		rooms:  newRoomQueue(),
+		rooms:  newWaitingRooms(),
 		bodies: newByteBudget(o.Settings.Limits.MemoryMB),
 
-		forwarder: newForwarder(o.Settings.Name, o.Settings.Zone, o.Settings.RegionByZone),
+		contention: o.Settings.Contention,
+		forwarder:  newForwarder(o.Settings.Name, o.Settings.Zone, o.Settings.RegionByZone),
 	}
 	s.canary.AwaitRollOuts()
 	s.lastAnswers, s.beginLastAnswers = context.WithCancel(context.Background())
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -70,6 +70,12 @@
 	sends         int      // attempts whose request may have reached an upstream
 	runs          int      // attempts that upstreams executed or may have executed
 	versionReason string   // reason of the version rule of the last pick, for the log
+	// forwardTried is true once no other VM took the request after all of its attempts
+	// failed to connect.
+	forwardTried bool
+	// roomExpectedIn is when the caller may expect room after the request got none; zero
+	// if unknown.
+	roomExpectedIn time.Duration
 	// outcomes and paces are the attempts that count for the versions.
 	outcomes, paces countedAttempts
 	// outcome names how the request ended, for the log and the metrics.
@@ -104,11 +110,15 @@
 		return a, ""
 	}
 	pick, reason := x.nextPick(pickModel)
-	if pick == nil && x.sends == 0 && len(x.tried) > 0 && (reason == fleet.NoneReachable || reason == fleet.NoneAllowed) {
+	if pick == nil && x.isExhausted(reason) {
 		x.proxy.recordExhausted(x.req.Service.Name)
 		if a := x.forward(); a != nil {
 			return a, ""
 		}
+		if x.proxy.contention && reason == fleet.NoneReachable {
+			x.forwardTried = true
+			pick, reason = x.nextPick(pickModel)
+		}
 	}
 	if pick == nil {
 		return nil, reason
@@ -266,7 +276,7 @@
 		x.respondError(result.New(result.UpstreamFailed, "no other upstream can accept the request").WithRun(result.Unknown), string(reason))
 		return
 	}
-	x.respondError(result.New(result.NoUpstream, "no upstream can accept the request now").WithRetryAfter(x.proxy.retryAfter(reason, x.req.Service.Name)), string(reason))
+	x.respondError(result.New(result.NoUpstream, "no upstream can accept the request now").WithRetryAfter(x.retryAfter(reason)), string(reason))
 }
 
 // recordUnserved records for the isolation check that the request reached no
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -45,9 +45,11 @@
 	beginLastAnswers context.CancelFunc
 	isolation        isolation
 	forwarder        *forwarder
-	rooms            *roomQueue
+	rooms            *waitingRooms
 	bodies           *byteBudget
 	undecided        undecidedCrashes
+	// contention is vm.Settings.Contention.
+	contention bool
 
 	mu     sync.Mutex // guards canary, poison and gains
 	canary *canary.Core
@@ -241,6 +243,15 @@
 	failoverRetryAfter = 2300 * time.Millisecond
 )
 
+// retryAfter returns when the caller may retry a request that found no upstream. A VM that
+// is isolated sends it to others instead.
+func (x *requestState) retryAfter(reason fleet.Reason) time.Duration {
+	if x.roomExpectedIn > 0 && !x.proxy.isolation.isIsolated() {
+		return x.roomExpectedIn
+	}
+	return x.proxy.retryAfter(reason, x.req.Service.Name)
+}
+
 // retryAfter returns when a caller may retry a request that found no upstream of
 // the service.
 func (s *Proxy) retryAfter(reason fleet.Reason, service string) time.Duration {
--- a/internal/edge/site_test.go
+++ b/internal/edge/site_test.go
@@ -32,10 +32,14 @@
 	version   int
 	grace     time.Duration
 	// bounds may change the bounds of the VMs that are started afterwards.
-	bounds  func(*vm.Bounds)
-	limits  vm.Limits
-	metrics string                   // address; empty for none
-	dial    map[string]edge.DialFunc // by VM; TCP for the others
+	bounds func(*vm.Bounds)
+	limits vm.Limits
+	// contention is vm.Settings.Contention, and coldRate the requests per second that a
+	// cold replica of the order service tolerates; zero if it has no cold start.
+	contention bool
+	coldRate   float64
+	metrics    string                   // address; empty for none
+	dial       map[string]edge.DialFunc // by VM; TCP for the others
 }
 
 // entryVM is one entry VM.
@@ -112,7 +116,7 @@
 			map[string]any{"name": engine, "engine": map[string]any{"slots": 8, "kvCapacity": 100000, "models": []any{
 				map[string]any{"name": "small", "cost": 0.01}, map[string]any{"name": "large", "cost": 0.12},
 			}}},
-			map[string]any{"name": orders},
+			map[string]any{"name": orders, "coldStartS": 60, "coldPerS": s.coldRate},
 		},
 		"limits":  map[string]any{"maxBodyBytes": 1 << 20, "maxHeaderBytes": 16384, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "team-1", "apiKeys": keys}},
@@ -203,7 +207,7 @@
 			RetryRatio: 0.9, RetrySlack: 640, RetryWindow: 10 * time.Second, ExposureShare: 0.15, ColdFactor: 1.5, ColdSlack: 5,
 			SessionTTL: 5 * time.Second,
 		},
-		Store: vm.Store{Address: s.address}, Limits: s.limits,
+		Store: vm.Store{Address: s.address}, Limits: s.limits, Contention: s.contention,
 	}
 	if s.bounds != nil {
 		s.bounds(&set.Bounds)
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -23,6 +23,9 @@
 	Limits        Limits
 	Bounds        Bounds
 	Store         Store
+	// Contention is true if callers of this deployment at times compete for insufficient
+	// capacity.
+	Contention bool
 }
 
 // Limits are the resource limits of the VM.
