fake: Replicas with large responses and events, that read late or cut off what is unread

Cause: no stand-in could show what a VM holds for callers and upstreams that read slowly. Change: faults AnswerBytes, EventBytes, Unsized, MaxUnread and BodyPause.

--- a/internal/fake/platformside/replica.go
+++ b/internal/fake/platformside/replica.go
@@ -63,6 +63,17 @@
 	// SlowShare the share that take Slowdown times as long.
 	FailShare, SlowShare float64
 	Slowdown             int
+	// AnswerBytes is the least size of the body of a response that is not a stream, and
+	// EventBytes that of an event of a stream.
+	AnswerBytes, EventBytes int
+	// Unsized omits the Content-Length of a response that is not a stream: it is sent in
+	// chunks.
+	Unsized bool
+	// MaxUnread is how long a part of a response may stay unread until the replica cuts
+	// the response off; zero for no limit.
+	MaxUnread time.Duration
+	// BodyPause is the time to wait before the request's body is read.
+	BodyPause time.Duration
 	// FaultyTarget begins the targets of the requests to which FailShare and SlowShare
 	// apply; empty for all.
 	FaultyTarget string
@@ -203,6 +214,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		return
 	}
+	time.Sleep(f.BodyPause)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the request body is incomplete
@@ -282,7 +294,7 @@
 
 func (p *Replica) writePlain(w http.ResponseWriter, r *http.Request, run *Run, f ReplicaFaults) {
 	time.Sleep(p.ProcessingTime * time.Duration(max(f.Slowdown, 1)))
-	status, body := http.StatusOK, "answer to "+run.ID+" "+strings.Repeat("x", 600)
+	status, body := http.StatusOK, "answer to "+run.ID+" "+filling(max(600, f.AnswerBytes))
 	if f.Fail {
 		status, body = http.StatusInternalServerError, "failure of "+run.ID
 	}
@@ -298,10 +310,12 @@
 	case f.Extra, f.Unframed:
 		p.writeRaw(w, status, body, f)
 	default:
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		if !f.Unsized {
+			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		}
 		w.WriteHeader(status)
 		if r.Method != http.MethodHead {
-			_, _ = io.WriteString(w, body) // the context tells whether the client has disconnected
+			writeUnlessUnread(w, body, f.MaxUnread)
 		}
 	}
 }
@@ -350,7 +364,7 @@
 		if r.Context().Err() != nil {
 			return
 		}
-		text := Event(run.ID, run.Model, id)
+		text := padEvent(Event(run.ID, run.Model, id), f.EventBytes)
 		if f.Torn && id == lastReceived+3 { // within the third event of this response
 			out.truncate(text[:len(text)/2])
 			return
