edge: Bound what a VM holds for callers that read slowly, and give up those that take nothing

Cause: a plain response of up to 4 MB was read whole and counted nowhere; a write to a caller that reads nothing blocked without end; and while it blocked, the stall timer of a stream ran on, so that the stream moved to another upstream, took a retry, and counted as the first upstream's failure. Change: responses are charged, before they are read, to a budget of their own (an eighth of the memory); one without room is passed through as it arrives. A caller that acknowledges nothing for the time of its patience is given up. Time in which a write to the caller blocks is not the upstream's.

--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -110,7 +110,7 @@
 		poison: poison.New(o.Settings.Name),
 		gains:  modelchoice.NewGains(),
 		rooms:  newRoomQueue(),
-		bodies: newByteBudget(o.Settings.Limits.MemoryMB),
+		bodies: newByteBudget(o.Settings.Limits.MemoryMB), responses: newResponseBudget(o.Settings.Limits.MemoryMB),
 
 		forwarder: newForwarder(o.Settings.Name, o.Settings.Zone, o.Settings.RegionByZone),
 	}
@@ -199,11 +199,12 @@
 	}
 	server := &http.Server{
 		Handler: a.proxy.forwardedHandler(a.follower.stateHandler()), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * maxHeaderBytes,
+		ConnContext: withCallerConn,
 	}
 	a.peerServer = server
 	context.AfterFunc(ctx, func() { _ = server.Close() }) // shutDown has let forwarded requests complete
 	go func() {
-		if err := ignoreServerClosed(server.Serve(listener)); err != nil {
+		if err := ignoreServerClosed(server.Serve(callerListener{listener, a.options.Metrics.stalled})); err != nil {
 			klog.InfoS("peers: no longer served", "err", logs.Err(err))
 		}
 	}()
@@ -215,19 +216,23 @@
 func (a *App) serve(ctx context.Context) error {
 	callerServer := &http.Server{
 		Handler: a.proxy, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return context.WithoutCancel(ctx) }, ConnContext: withConnRequests,
+		BaseContext: func(net.Listener) context.Context { return context.WithoutCancel(ctx) }, ConnContext: withCallerConn,
 	}
 	readinessServer := &http.Server{Handler: a.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout}
 	servers := []struct {
 		server  *http.Server
 		address string
-	}{{callerServer, a.options.Settings.CallerAddress}, {readinessServer, a.options.Settings.ReadinessAddress}}
+		callers bool
+	}{{callerServer, a.options.Settings.CallerAddress, true}, {readinessServer, a.options.Settings.ReadinessAddress, false}}
 	var group errgroup.Group
 	for _, s := range servers {
 		listener, err := listen(ctx, s.address)
 		if err != nil {
 			return trace.Wrap(result.New(result.AddressInUse, "cannot listen on %s: %v", s.address, err))
 		}
+		if s.callers {
+			listener = callerListener{listener, a.options.Metrics.stalled}
+		}
 		group.Go(func() error { return ignoreServerClosed(s.server.Serve(listener)) })
 	}
 	a.serveMetrics(ctx)
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -50,6 +50,11 @@
 
 	// disconnected is true when the upstream broke the connection, not this VM.
 	disconnected bool
+	// length is that of the body in bytes; negative if it is unknown.
+	length int64
+	// unread is the time in which writes to the caller blocked, so that the response was not
+	// read from the upstream.
+	unread time.Duration
 	// framing is how the response marks the end of its body; empty without one.
 	framing framing
 	// pace is that of the events of a stream.
@@ -100,7 +105,7 @@
 		return a
 	}
 	x.proxy.recordContact(x.req.Service.Name, a.startedAt)
-	a.body, a.framing = resp.Body, framingOf(resp)
+	a.setBody(resp)
 	a.head = x.proxy.protocol.DecodeHead(resp, details)
 	x.proxy.recordAlive(a)
 	a.attemptStatus = a.head.AttemptStatus
@@ -145,18 +150,12 @@
 	}
 }
 
-// readResponse reads the rest of a response that is not a stream.
-func (a *attempt) readResponse() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.body, maxResponseBytes+1))
-	switch {
-	case err != nil:
-		a.recordTruncation(err)
-	case len(body) > maxResponseBytes:
-		a.err = errResponseTooLong
-	default:
-		a.bodyRead = true
+// setBody sets the body of a response, which is still to be read.
+func (a *attempt) setBody(resp *http.Response) {
+	a.body, a.framing, a.length = resp.Body, framingOf(resp), resp.ContentLength
+	if a.state.req.Method == http.MethodHead {
+		a.length = 0 // the response to a HEAD request has the length of the one to GET
 	}
-	return body, a.err
 }
 
 // recordTruncation records a response whose body could not be read completely.
@@ -198,6 +197,8 @@
 		return fleet.OutcomeNeutral // the upstream itself refuses the model or the version
 	case a.attemptStatus == exchange.Misdirected:
 		return fleet.OutcomeMisdirected
+	case a.cutUnread():
+		return fleet.OutcomeNeutral // the caller is the reason
 	case a.err != nil || a.head == nil || a.head.Status >= http.StatusInternalServerError || !a.head.Usable():
 		return fleet.OutcomeFailed
 	}
@@ -213,5 +214,5 @@
 		"model", a.model, "why", a.state.versionReason, "cost", int(a.pick.Cost), "candidates", a.pick.EligibleCount,
 		"uncached", a.pick.UncachedTokens, "expect", a.pick.ExpectedLatency.Milliseconds(), "firstByte", a.timeToHead.Milliseconds(),
 		"took", time.Since(a.startedAt).Milliseconds(), "fate", a.attemptStatus, "status", status, "confidence", confidence, "running", a.running(),
-		"events", a.pace.events, "interval", a.pace.interval().Milliseconds(), "framing", a.framing, "leftover", a.leftover, "end", upstreamOutcome, "cause", a.endCause(), "err", logs.Err(a.err))
+		"events", a.pace.events, "interval", a.pace.interval().Milliseconds(), "framing", a.framing, "leftover", a.leftover, "unread", a.unread.Milliseconds(), "end", upstreamOutcome, "cause", a.endCause(), "err", logs.Err(a.err))
 }
--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -5,11 +5,8 @@
 	"strconv"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/cranberrypier/cranberrypier/internal/exchange"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
-	"github.com/cranberrypier/cranberrypier/internal/logs"
 	"github.com/cranberrypier/cranberrypier/internal/retry"
 	"github.com/cranberrypier/cranberrypier/internal/routing"
 )
@@ -65,13 +62,16 @@
 	if a.attemptStatus != exchange.Answered || !a.head.Usable() {
 		return false
 	}
-	body, err := a.readResponse()
+	resp, err := a.readResponse()
 	if err != nil {
 		return false
 	}
-	resp := &response{head: a.head, body: body}
+	if resp.partial {
+		x.passThrough(a, resp)
+		return true
+	}
 	if a.head.Status >= http.StatusInternalServerError && a.vm == "" && x.mayRetryFailure() {
-		x.fallback = resp
+		x.keepFallback(resp)
 		return false
 	}
 	a.release(a.outcome())
@@ -118,8 +118,7 @@
 		return
 	}
 	if _, err := x.w.Write(resp.body); err != nil {
-		x.outcome = "caller_gone"
-		klog.InfoS("request: response not delivered", "request", x.req.ID, "err", logs.Err(err))
+		x.recordUndelivered(err)
 	}
 }
 
--- a/internal/edge/endcause.go
+++ b/internal/edge/endcause.go
@@ -30,8 +30,10 @@
 	endStallTimeout endCause = "stall_timeout"
 	endDeadline     endCause = "deadline"
 	endCallerGone   endCause = "caller_gone"
-	endVMStopping   endCause = "vm_stopping"
-	endOther        endCause = "other"
+	// endCallerStalled: this VM gave the caller up.
+	endCallerStalled endCause = "caller_stalled"
+	endVMStopping    endCause = "vm_stopping"
+	endOther         endCause = "other"
 )
 
 // causeOfError lists the errors that name a cause, in the order in which they are
@@ -42,6 +44,7 @@
 }{
 	{errHeadTimeout, endHeadTimeout},
 	{errStreamStalled, endStallTimeout},
+	{errCallerStalled, endCallerStalled},
 	{errVMStopping, endVMStopping},
 	{context.DeadlineExceeded, endDeadline},
 	{context.Canceled, endCallerGone},
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -204,7 +204,7 @@
 		a.recordNoResponse(err)
 		return a
 	}
-	a.body, a.framing = resp.Body, framingOf(resp)
+	a.setBody(resp)
 	a.timeToHead = time.Since(a.startedAt)
 	a.head = x.proxy.protocol.DecodeHead(resp, exchange.Attempt{Request: x.req})
 	a.head.Header.Del(forwardResultHeader)
@@ -263,11 +263,15 @@
 // passFinalError forwards an error response that another VM generated itself. It
 // returns false if that response is incomplete.
 func (x *requestState) passFinalError(a *attempt) bool {
-	body, err := a.readResponse()
+	resp, err := a.readResponse()
 	if err != nil {
 		return false
 	}
-	x.writeResponse(&response{head: a.head, body: body})
+	if resp.partial {
+		x.passThrough(a, resp)
+	} else {
+		x.writeResponse(resp)
+	}
 	x.outcome = "forwarded_error"
 	return true
 }
--- a/internal/edge/forwarded.go
+++ b/internal/edge/forwarded.go
@@ -148,8 +148,9 @@
 
 // newRequestState returns the state of a request that has just arrived.
 func (s *Proxy) newRequestState(w http.ResponseWriter, r *http.Request) *requestState {
+	caller := callerConnOf(r.Context())
 	return &requestState{
 		proxy: s, w: w, ctx: r.Context(), req: &exchange.Request{ReceivedAt: time.Now()}, closeDelimited: !r.ProtoAtLeast(1, 1),
-		connRequests: countConnRequest(r.Context()),
+		caller: caller, connRequests: caller.countRequest(),
 	}
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -32,6 +32,8 @@
 	attemptEnds *prometheus.CounterVec
 	brittle     *prometheus.CounterVec
 	limited     *prometheus.CounterVec
+	unbuffered  prometheus.Counter
+	stalled     prometheus.Counter
 	versions    *prometheus.CounterVec
 
 	blockedRecords *prometheus.CounterVec
@@ -87,12 +89,18 @@
 		}, []string{"version", "says"}),
 		brittle: newBrittleCounter(),
 		limited: newLimitedCounter(),
+		unbuffered: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pier_unbuffered_responses_total", Help: "Responses of upstreams that were passed through as they arrived, because there was no room to buffer them.",
+		}),
+		stalled: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pier_stalled_callers_total", Help: "Connections that were closed because their caller took nothing of its response.",
+		}),
 
 		blockedRecords: newBlockedRecordsCounter(),
 
 		routes: labelSet{maxValues: maxRouteLabels}, versionNames: labelSet{maxValues: maxVersionLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.unbuffered, m.stalled, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration)
 	return m
 }
 
@@ -111,6 +119,7 @@
 		"pier_reads_store":          {"1 while this VM reads the store itself.", f.readsStoreGauge},
 		"pier_store_age_seconds":    {"Age of the latest proof that nothing of the store is missing.", f.storeAgeGauge},
 		"pier_body_bytes":           {"Bytes of requests' bodies that are held.", s.bodies.inUse},
+		"pier_response_bytes":       {"Bytes of responses that are buffered.", s.responses.inUse},
 		"pier_limited_upstreams":    {"Upstreams that name a limit for all VMs together.", func() float64 { return float64(s.fleet.LimitedUpstreams()) }},
 		"pier_brittle_services":     {"Services whose upstreams crash if they have to reject too many requests.", func() float64 { return float64(s.fleet.BrittleServices(time.Now())) }},
 	}
--- a/internal/edge/pace.go
+++ b/internal/edge/pace.go
@@ -99,7 +99,7 @@
 		p.Running = a.running()
 	}
 	cold := a.startedAt.Before(a.pick.ColdUntil)
-	if a.paceRecorded || p.PerUnit == 0 || cold {
+	if a.paceRecorded || p.PerUnit == 0 || cold || a.state.req.Route.Stream && a.unread > maxPacedUnread {
 		return
 	}
 	a.paceRecorded = true
--- a/internal/edge/patience.go
+++ b/internal/edge/patience.go
@@ -104,29 +104,52 @@
 type patience struct {
 	attempt *attempt
 	cause   error
+	timeout time.Duration
 
 	mu        sync.Mutex
 	timer     *time.Timer
 	expiresAt time.Time
-	stopped   bool
+	// heldAt is when a write to the caller began, during which the timeout does not run;
+	// zero for none.
+	heldAt  time.Time
+	stopped bool
 }
 
 // startPatience starts the timeout of an attempt; cause is the reason for its end.
 func (a *attempt) startPatience(timeout time.Duration, cause error) *patience {
-	p := &patience{attempt: a, cause: cause, expiresAt: time.Now().Add(timeout)}
+	p := &patience{attempt: a, cause: cause, timeout: timeout, expiresAt: time.Now().Add(timeout)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.timer = time.AfterFunc(timeout, p.expire)
 	return p
 }
 
-// extend starts the timeout anew.
-func (p *patience) extend(timeout time.Duration) {
+// hold stops the timeout during a write to the caller, whose upstream is then not read
+// from. It does nothing if p is nil.
+func (p *patience) hold() {
+	if p == nil {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.expiresAt = time.Now().Add(timeout)
+	p.heldAt = time.Now()
+}
+
+// resume ends hold. It starts the timeout anew if the upstream has made progress. It does
+// nothing if p is nil.
+func (p *patience) resume(now time.Time, progress bool) {
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expiresAt = p.expiresAt.Add(now.Sub(p.heldAt))
+	if progress {
+		p.expiresAt = now.Add(p.timeout)
+	}
+	p.heldAt = time.Time{}
 	if !p.stopped {
-		p.timer.Reset(timeout)
+		p.timer.Reset(p.expiresAt.Sub(now))
 	}
 }
 
@@ -195,8 +218,13 @@
 	}
 }
 
-// restart starts the timeout anew if it was extended, and reports whether it was.
+// restart starts the timeout anew if it was extended or is held, and reports whether it
+// was.
 func (p *patience) restart() bool {
+	if !p.heldAt.IsZero() {
+		p.timer.Reset(retryCheckInterval)
+		return true
+	}
 	left := time.Until(p.expiresAt)
 	if left > 0 {
 		p.timer.Reset(left)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -40,8 +41,12 @@
 	// configVersion is the version of the configuration that admitted or refused the
 	// request; zero if none was loaded.
 	configVersion uint64
-	// heldBytes is the room that the body has.
-	heldBytes int64
+	// deadline cancels ctx at the request's deadline.
+	deadline *time.Timer
+	// heldBytes is the room that the body has, and responseBytes that of its responses.
+	heldBytes, responseBytes int64
+	// caller is the connection of the caller; nil if it is unknown.
+	caller *callerConn
 	// counted is true once the request is counted for the retry budget, by this VM or
 	// by the one that forwarded it.
 	counted bool
@@ -78,15 +83,10 @@
 	firstByte time.Duration
 }
 
-// response is a complete response of an upstream.
-type response struct {
-	head *exchange.Head
-	body []byte
-}
-
 // callerGone reports whether the caller has disconnected.
 func (x *requestState) callerGone() bool {
-	return x.ctx.Err() != nil && !x.vmStopping() && time.Now().Before(x.req.Deadline)
+	cause := context.Cause(x.ctx)
+	return cause != nil && !errors.Is(cause, errVMStopping) && !errors.Is(cause, context.DeadlineExceeded)
 }
 
 // reasonVMStopping is the reason why a request is not sent: this VM stops before the
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -47,6 +47,7 @@
 	forwarder        *forwarder
 	rooms            *roomQueue
 	bodies           *byteBudget
+	responses        *byteBudget
 	undecided        undecidedCrashes
 
 	mu     sync.Mutex // guards canary, poison and gains
@@ -70,6 +71,7 @@
 func (x *requestState) serve(r *http.Request) {
 	s := x.proxy
 	defer x.holdBytes(0)
+	defer x.holdResponse(0)
 	if s.stop.Load() != nil || s.isolation.isIsolated() {
 		x.w.Header().Set("Connection", "close")
 	}
@@ -78,11 +80,11 @@
 		x.finishRequest()
 		return
 	}
-	deadlineCtx, cancelDeadline := context.WithDeadline(r.Context(), x.req.Deadline)
-	defer cancelDeadline()
 	var cancel context.CancelCauseFunc
-	x.ctx, cancel = context.WithCancelCause(deadlineCtx)
+	x.ctx, cancel = context.WithCancelCause(r.Context())
 	defer cancel(nil)
+	x.startDeadline(cancel)
+	defer x.deadline.Stop()
 	x.outlastVM = x.endWithVM(cancel)
 	defer x.outlastVM()
 	defer x.dropReservation()
@@ -123,6 +125,7 @@
 	x.req.Route = route
 	x.setTeam(team)
 	x.setDeadlines(caller.Timeout)
+	x.caller.setPatience(callerPatience(route.TargetLatency, route.TargetGap))
 	if err := x.readBody(r, config.MaxBodyBytes); err != nil {
 		return err
 	}
@@ -161,6 +164,15 @@
 	}
 }
 
+// startDeadline cancels the request's context at its deadline, unless the timer is changed.
+func (x *requestState) startDeadline(cancel context.CancelCauseFunc) {
+	left := time.Until(x.req.Deadline)
+	if left <= 0 {
+		cancel(context.DeadlineExceeded)
+	}
+	x.deadline = time.AfterFunc(left, func() { cancel(context.DeadlineExceeded) })
+}
+
 func (x *requestState) setDeadlines(callerTimeout time.Duration) {
 	if callerTimeout <= 0 {
 		callerTimeout = defaultCallerTimeout
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -130,13 +129,16 @@
 	if st.headSent {
 		return streamBroken
 	}
-	body, err := a.readResponse()
+	resp, err := a.readResponse()
 	if err != nil {
 		return streamBroken
 	}
-	resp := &response{head: a.head, body: body}
+	if resp.partial {
+		st.passThrough(a, resp)
+		return streamDone
+	}
 	if a.head.Status >= http.StatusInternalServerError && a.vm == "" && st.mayRetryFailure() {
-		st.fallback = resp
+		st.keepFallback(resp)
 		return streamBroken
 	}
 	st.writeResponse(resp)
@@ -166,9 +168,6 @@
 		events, err := reader.next()
 		if events.count > 0 {
 			st.resumeBy = time.Time{}
-			if stall != nil {
-				stall.extend(stallTimeout)
-			}
 		}
 		if errors.Is(err, io.EOF) {
 			return st.endStream(a, events.bytes)
@@ -181,13 +180,18 @@
 			a.recordTruncation(err)
 			return streamBroken
 		}
-		if !st.write(events.bytes) {
+		stall.hold()
+		begin := time.Now()
+		if !st.write(a, events.bytes) {
 			return streamDone
 		}
-		if a.pace.record(time.Now(), events.count); a.vm == "" && a.pace.eventsAfterFirst >= pacedEvents {
-			a.recordPace(time.Now())
+		now := time.Now()
+		a.unread += now.Sub(begin)
+		stall.resume(now, events.count > 0)
+		if a.pace.record(now, events.count); a.vm == "" && a.pace.eventsAfterFirst >= pacedEvents {
+			a.recordPace(now)
 		}
-		a.recordSurvival(time.Now())
+		a.recordSurvival(now)
 		if events.lastID != "" {
 			st.resumeAfter = events.lastID
 		}
@@ -203,16 +207,16 @@
 	return time.Duration(stallTimeoutFactor * float64(st.req.Route.TargetGap))
 }
 
-// write forwards bytes to the caller at once. It returns false if the caller
-// has disconnected.
-func (st *streamState) write(b []byte) bool {
+// write forwards bytes of an attempt to the caller at once. It returns false if the caller
+// has disconnected or was given up.
+func (st *streamState) write(a *attempt, b []byte) bool {
 	_, err := st.w.Write(b)
 	if err == nil {
 		err = st.controller.Flush()
 	}
 	if err != nil {
-		st.outcome = "caller_gone"
-		klog.InfoS("request: stream not delivered", "request", st.req.ID, "err", logs.Err(err))
+		st.recordUndelivered(err)
+		a.recordStalled(err)
 		return false
 	}
 	return true
@@ -231,7 +235,7 @@
 		a.recordTruncation(errNoEvents)
 		return streamBroken
 	}
-	if len(rest) > 0 && !st.write(rest) {
+	if len(rest) > 0 && !st.write(a, rest) {
 		return streamDone
 	}
 	st.outcome = "answered"
@@ -277,27 +281,23 @@
 // abort closes the caller's connection, so that the truncated response does not
 // look complete.
 func (st *streamState) abort(reason string) {
-	st.outcome = "stream_cut"
+	outcome := "stream_cut"
 	if st.ctx.Err() != nil {
-		st.outcome = "caller_gone"
-	}
-	klog.InfoS("request: stream aborted before its end", "request", st.req.ID, "because", reason, "after", st.resumeAfter, "outcome", st.outcome)
-	if st.closeDelimited {
-		st.resetConnection()
+		outcome = "caller_gone"
 	}
-	st.finishRequest() // the panic skips the call in ServeHTTP
-	panic(http.ErrAbortHandler)
+	klog.InfoS("request: stream aborted before its end", "request", st.req.ID, "because", reason, "after", st.resumeAfter, "outcome", outcome)
+	st.abortResponse(outcome)
 }
 
 // resetConnection resets the caller's connection. Without chunks, a connection
 // that is merely closed would end the response in the regular way.
-func (st *streamState) resetConnection() {
-	conn, _, err := st.controller.Hijack()
+func (x *requestState) resetConnection() {
+	conn, _, err := http.NewResponseController(x.w).Hijack()
 	if err != nil {
-		klog.InfoS("request: connection not reset", "request", st.req.ID, "err", logs.Err(err))
+		klog.InfoS("request: connection not reset", "request", x.req.ID, "err", logs.Err(err))
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is gone
 	}
 	_ = conn.Close() // the caller may have disconnected
--- a/internal/explain/report.go
+++ b/internal/explain/report.go
@@ -101,6 +101,8 @@
 var causes = map[string]string{
 	"answered":              "An upstream's response was forwarded to the caller.",
 	"caller_gone":           "The caller disconnected, or its deadline passed, before the response was complete.",
+	"caller_stalled":        "The caller took nothing of its response for the time of its patience; its connection was closed.",
+	"answer_cut":            "The response was passed through as it arrived, for want of room, and broke off; the connection was closed so that the caller can tell.",
 	"stream_cut":            "The stream was interrupted and could not be resumed; the connection was closed so that the caller can tell that the response is truncated.",
 	"no_upstream":           "No upstream could accept the request; 'because' gives the reason, the fleet lines show the known upstreams and their state.",
 	"overloaded":            "Every upstream that was tried rejected the request or was unreachable; the request did not run.",
