--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -35,6 +35,8 @@
 	badLoads    prometheus.Counter
 	waits       *prometheus.CounterVec
 	waitTime    *prometheus.HistogramVec
+	unbuffered  prometheus.Counter
+	stalled     prometheus.Counter
 	versions    *prometheus.CounterVec
 
 	blockedRecords *prometheus.CounterVec
@@ -94,12 +96,18 @@
 			Name: "pier_bad_load_reports_total", Help: "Responses of upstreams whose load report could not be parsed.",
 		}),
 		waits: newWaitsCounter(), waitTime: newWaitHistogram(),
+		unbuffered: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pier_unbuffered_responses_total", Help: "Responses of upstreams that were passed through as they arrived, because there was no room to buffer them.",
+		}),
+		stalled: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pier_stalled_callers_total", Help: "Connections that were closed because their caller took nothing of its response.",
+		}),
 
 		blockedRecords: newBlockedRecordsCounter(),
 
 		routes: labelSet{maxValues: maxRouteLabels}, versionNames: labelSet{maxValues: maxVersionLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.badLoads, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration, m.waits, m.waitTime)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.badLoads, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration, m.waits, m.waitTime, m.unbuffered, m.stalled)
 	return m
 }
 
@@ -119,6 +127,7 @@
 		"pier_store_age_seconds":    {"Age of the latest proof that nothing of the store is missing.", f.storeAgeGauge},
 		"pier_body_bytes":           {"Bytes of requests' bodies that are held.", s.bodies.inUse},
 		"pier_waiting_requests":     {"Requests that wait for room at an upstream.", func() float64 { return float64(s.rooms.waiting.Load()) }},
+		"pier_response_bytes":       {"Bytes of responses that are buffered.", s.responses.inUse},
 		"pier_limited_upstreams":    {"Upstreams that name a limit for all VMs together.", func() float64 { return float64(s.fleet.LimitedUpstreams()) }},
 		"pier_brittle_services":     {"Services whose upstreams crash if they have to reject too many requests.", func() float64 { return float64(s.fleet.BrittleServices(time.Now())) }},
 	}
