edge, modelchoice: Larger models are weighed by the route's priority where callers compete

Cause: the price of a model and the engine time that it takes weighed the same for all requests.

Ruled out: the team's priority (most requests of urgent teams were still asked again).

--- a/internal/edge/models.go
+++ b/internal/edge/models.go
@@ -98,13 +98,35 @@
 		x.proxy.mu.Unlock()
 		names = append(names, name)
 		options = append(options, modelchoice.LargerModel{
-			ExpectedConfidence: confidence, Price: x.req.Service.Prices[name], FirstToken: estimate.FirstByte,
-			PrefillBacklog: estimate.PrefillBacklog, TimeLeft: left, TargetLatency: x.req.Route.TargetLatency,
+			ExpectedConfidence: confidence, Price: x.priceOf(name), FirstToken: estimate.FirstByte,
+			PrefillBacklog: estimate.PrefillBacklog, TimeLeft: left, TargetLatency: x.sharedTarget(),
 		})
 	}
 	return options, names
 }
 
+// priceOf returns the price of a model, weighed by the route's priority where callers
+// compete for capacity. A team's priority says whose requests go first, not what the
+// answer to a kind of request is worth.
+func (x *requestState) priceOf(model string) float64 {
+	price := x.req.Service.Prices[model]
+	if x.proxy.contention {
+		price *= modelchoice.PriceFactor(x.req.Route.Priority)
+	}
+	return price
+}
+
+// sharedTarget returns the target latency against which an upstream's time is weighed.
+// Where callers compete for capacity, it is the shortest of the service's routes: a
+// request that can wait delays others that can't.
+func (x *requestState) sharedTarget() time.Duration {
+	target := x.req.Route.TargetLatency
+	if shortest := x.req.Service.ShortestTarget; x.proxy.contention && shortest > 0 {
+		target = min(target, shortest)
+	}
+	return target
+}
+
 // timeToTarget returns the time until the route's target latency.
 func (x *requestState) timeToTarget(now time.Time) time.Duration {
 	return x.req.ReceivedAt.Add(x.req.Route.TargetLatency).Sub(now)
--- a/internal/overload/floor.go
+++ b/internal/overload/floor.go
@@ -161,8 +161,8 @@
 	return best
 }
 
-// hasMoreNeglected reports whether another waiting request has a lower served share.
-func (q *Queue) hasMoreNeglected(now time.Time, w *Waiter, share float64) bool {
+// anyMoreNeglected reports whether another waiting request has a lower served share.
+func (q *Queue) anyMoreNeglected(now time.Time, w *Waiter, share float64) bool {
 	for _, o := range q.waiting {
 		if other, neglected := q.shares.neglect(now, o); o != w && neglected && (other < share || other == share && o.before(w)) {
 			return true
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -75,6 +75,9 @@
 	KVCapacity int
 	// Prices are the prices of 1,000 generated tokens, by model.
 	Prices map[string]float64
+	// ShortestTarget is the shortest target latency of the routes to the service; zero if
+	// none has one. New sets it.
+	ShortestTarget time.Duration
 }
 
 // Team is a group of callers.
@@ -107,10 +110,20 @@
 	c.routes = make(map[string]*Route, len(routes))
 	for _, r := range routes {
 		c.routes[r.Host+r.Prefix] = r
+		for _, b := range r.Backends {
+			c.Services[b.Service].noteTarget(r.TargetLatency)
+		}
 	}
 	return &c
 }
 
+// noteTarget lowers the shortest target latency to that of a route to the service.
+func (s *Service) noteTarget(target time.Duration) {
+	if s != nil && target > 0 && (s.ShortestTarget == 0 || target < s.ShortestTarget) {
+		s.ShortestTarget = target
+	}
+}
+
 // RouteCount returns the number of routes.
 func (c *Config) RouteCount() int { return len(c.routes) }
 
