pierctl: Check a configuration of the platform before it is sent

Cause: the VMs leave out or overwrite faulty parts of a configuration, which is seen only in their logs and at callers.

--- a/internal/edge/bytebudget.go
+++ b/internal/edge/bytebudget.go
@@ -13,17 +13,15 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/logs"
 	"github.com/cranberrypier/cranberrypier/internal/result"
+	"github.com/cranberrypier/cranberrypier/internal/vm"
 )
 
 const (
-	// bodyMemoryShare is the share of the VM's memory for bodies of requests. The rest is
-	// for the process, buffers of connections, answers, and what the garbage collector has
-	// not freed yet.
-	bodyMemoryShare = 0.25
+	bodyMemoryShare = vm.BodyMemoryShare
 	// largeBodyBytes is the size from which on a body is large. Large ones together leave
 	// a quarter of the room to the others.
 	largeBodyBytes = 64 << 10
-	largeBodyShare = 0.75
+	largeBodyShare = vm.LargeBodyShare
 	// bodyStep is the least by which the room for a body without a length grows.
 	bodyStep = 16 << 10
 	// bodyRetryAfter is about the time in which room becomes free.
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -23,6 +23,7 @@
 	Settings string `type:"path" placeholder:"FILE" env:"PIERCTL_SETTINGS" help:"YAML settings file; required by commands that call agents."`
 
 	Validate ValidateCommand `cmd:"" help:"Validate a document and list all its faults."`
+	Check    CheckCommand    `cmd:"" help:"Check a configuration of the platform before it is sent, and compare it with another."`
 	Submit   SubmitCommand   `cmd:"" help:"Submit a document to the fleet."`
 	Show     ShowCommand     `cmd:"" help:"Print the document in force, ready to be edited and submitted."`
 	Diff     DiffCommand     `cmd:"" help:"Compare the document in force with a file."`
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -90,6 +90,28 @@
 	// DocumentUnknown: it is unknown whether the document is or will be in force.
 	DocumentUnknown Code = 2005
 	OperatorRefused Code = 2006
+
+	// The findings of a check of a platform configuration.
+
+	// ConfigFaulty: the configuration has findings.
+	ConfigFaulty Code = 2020
+	// ConfigPartInvalid: a part cannot be decoded and is left out.
+	ConfigPartInvalid Code = 2021
+	// ConfigPartHidden: another part with the same key replaces the part.
+	ConfigPartHidden Code = 2022
+	// ConfigKeyShared: two teams hold the same key.
+	ConfigKeyShared Code = 2023
+	// ConfigServiceMissing: a route's service is not configured.
+	ConfigServiceMissing Code = 2024
+	// ConfigModelMissing: a route's service lacks one of the route's models.
+	ConfigModelMissing Code = 2025
+	// ConfigNeverMatches: no request can match the route, or reach a service of it.
+	ConfigNeverMatches Code = 2026
+	// ConfigLimitsContradict: two limits contradict each other.
+	ConfigLimitsContradict Code = 2027
+	// ConfigVersionNotNewer: the VMs ignore the configuration, because its version is not
+	// newer than that of the one in force.
+	ConfigVersionNotNewer Code = 2028
 )
 
 // Codes of settings and startup (2100 to 2199).
@@ -98,6 +120,8 @@
 	AddressInUse    Code = 2102
 	// KeyFilesInvalid: a file with certificates or keys is missing or invalid.
 	KeyFilesInvalid Code = 2103
+	// FileUnreadable: a file named on the command line cannot be read or decoded.
+	FileUnreadable Code = 2104
 )
 
 // Codes of the platform's object store (3000 to 3099).
@@ -196,9 +220,20 @@
 	DocumentUnknown:     {"document_unknown", http.StatusServiceUnavailable, Unknown, 2 * time.Second},
 	OperatorRefused:     {"operator_refused", http.StatusForbidden, NotRun, 0},
 
+	ConfigFaulty:           {"config_faulty", http.StatusUnprocessableEntity, NotRun, 0},
+	ConfigPartInvalid:      {"config_part_invalid", http.StatusUnprocessableEntity, NotRun, 0},
+	ConfigPartHidden:       {"config_part_hidden", http.StatusUnprocessableEntity, NotRun, 0},
+	ConfigKeyShared:        {"config_key_shared", http.StatusUnprocessableEntity, NotRun, 0},
+	ConfigServiceMissing:   {"config_service_missing", http.StatusUnprocessableEntity, NotRun, 0},
+	ConfigModelMissing:     {"config_model_missing", http.StatusUnprocessableEntity, NotRun, 0},
+	ConfigNeverMatches:     {"config_never_matches", http.StatusUnprocessableEntity, NotRun, 0},
+	ConfigLimitsContradict: {"config_limits_contradict", http.StatusUnprocessableEntity, NotRun, 0},
+	ConfigVersionNotNewer:  {"config_version_not_newer", http.StatusUnprocessableEntity, NotRun, 0},
+
 	SettingsInvalid: {"settings_invalid", http.StatusInternalServerError, NotRun, 0},
 	AddressInUse:    {"address_in_use", http.StatusInternalServerError, NotRun, 0},
 	KeyFilesInvalid: {"key_material", http.StatusInternalServerError, NotRun, 0},
+	FileUnreadable:  {"file_unreadable", http.StatusInternalServerError, NotRun, 0},
 
 	PlatformUnavailable:  {"platform_unavailable", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
 	PlatformConflict:     {"platform_conflict", http.StatusConflict, NotRun, 0},
