overload: A round allocates nothing; refused callers are spread wider at an unknown rate

Cause: a round dropped the list of the one before, and 20 ms between grants is less than a VM's share of cold upstreams gives.

--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -23,6 +23,7 @@
 	waiting       []*Waiter
 	lastNumber    uint64
 	pending       []*Waiter // those to be tried in this round, in order
+	tried         int       // the number of them that were tried
 	floor         *Waiter   // the one of them that is tried first because of its floor
 	drain         drain
 	shares        shares
@@ -74,7 +75,8 @@
 func (q *Queue) BeginRound(now time.Time) {
 	q.rankAll(now)
 	q.floor = q.floorTurn(now)
-	q.pending = append(q.pending[:0], q.waiting...)
+	clear(q.pending) // frees those that have left
+	q.pending, q.tried = append(q.pending[:0], q.waiting...), 0
 	slices.SortFunc(q.pending, func(a, b *Waiter) int {
 		if a == b {
 			return 0
@@ -88,10 +90,9 @@
 
 // Next returns the request to be tried next in this round, or nil if all were tried.
 func (q *Queue) Next() *Waiter {
-	if len(q.pending) == 0 {
+	if q.tried == len(q.pending) {
 		return nil
 	}
-	w := q.pending[0]
-	q.pending = q.pending[1:]
-	return w
+	q.tried++
+	return q.pending[q.tried-1]
 }
--- a/internal/overload/retryafter.go
+++ b/internal/overload/retryafter.go
@@ -12,8 +12,9 @@
 	// and after a longer one the state of the upstreams has changed several times.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
-	// unknownInterval is the assumed time between grants while their rate is unknown.
-	unknownInterval = 20 * time.Millisecond
+	// unknownInterval is the assumed time between grants while their rate is unknown:
+	// about that of one VM of 70 at 100 cold upstreams.
+	unknownInterval = 50 * time.Millisecond
 	// retrySpread is the share of the time by which returning callers are spread.
 	retrySpread = 0.25
 )
