soak: Callers that leave large responses unread, and upstreams that read large bodies late

Cause: no step had callers or upstreams that read slowly. Change: steps slow_callers and slow_upstream, drawn from a random source of their own, so that the other steps of a seed stay the same.

--- a/internal/fake/sitesoak/schedule.go
+++ b/internal/fake/sitesoak/schedule.go
@@ -37,6 +37,8 @@
 	"revoke":        (*harness).revokeKey,
 	"storm":         (*harness).stormRoutes,
 	"rollout":       (*harness).rollOut,
+	"slow_callers":  (*harness).leaveUnread,
+	"slow_upstream": (*harness).readSlowly,
 }
 
 // weightedSteps has the names of the steps in a fixed order, so that a seed always
@@ -48,15 +50,20 @@
 }
 
 // silentShare is the number of steps of a schedule for each store_silent and each
-// lost_change step beside them. These have random sources of their own, so that they do
-// not change the schedule of a seed.
-const silentShare = 24
+// lost_change step beside them, and slowShare for each slow_callers and each
+// slow_upstream step. These have random sources of their own, so that they do not change
+// the schedule of a seed.
+const (
+	silentShare = 24
+	slowShare   = 6
+)
 
 // runSchedule starts random steps until end, some of them concurrently, and waits
 // until all have returned.
 func (h *harness) runSchedule(end time.Time) {
 	var wg sync.WaitGroup
 	silent, lost := rand.New(rand.NewPCG(h.opts.Seed, 13)), rand.New(rand.NewPCG(h.opts.Seed, 17))
+	slow := rand.New(rand.NewPCG(h.opts.Seed, 19))
 	for time.Now().Before(end) {
 		if len(h.opts.Steps) == 0 && silent.IntN(silentShare) == 0 {
 			h.silenceStoreConns(silent, 0)
@@ -64,6 +71,12 @@
 		if len(h.opts.Steps) == 0 && lost.IntN(silentShare) == 0 {
 			h.loseChange(lost, 0)
 		}
+		for _, name := range []string{"slow_callers", "slow_upstream"} {
+			if len(h.opts.Steps) == 0 && slow.IntN(slowShare) == 0 {
+				rng, duration := rand.New(rand.NewPCG(slow.Uint64(), 5)), time.Duration(200+slow.IntN(6000))*time.Millisecond
+				wg.Go(func() { steps[name](h, rng, duration) })
+			}
+		}
 		name := weightedSteps[h.rng.IntN(len(weightedSteps))]
 		if len(h.opts.Steps) > 0 {
 			name = h.opts.Steps[h.rng.IntN(len(h.opts.Steps))]
