fleet: Plain services prefer their zone; work time; prefill times learned soon

Cause: with 70 VMs each VM sees a hundredth of the calls. Its average latencies differ by chance by more than the cross-zone penalty of 4 ms, so that calls of 30 ms with 2.6 of 24 slots busy went to all four upstreams, over connections to all four, and calls that may not be repeated were lost when a zone was cut off. The work time that upstreams report was not used. The prefill time of a model took a VM a minute to learn.

Change: with 16 VMs and upstreams in three zones or more, a plain request stays in its own zone while the upstream there has room, does not fail and is not slower than the fastest other by more than a tenth of the target latency. Beyond, a share leaves that rises steadily, and each request draws its upstream by free room. Call times are compared by an average that is weighed with other VMs' estimates and the average over the upstreams. The reported work time multiplies the expected latency, fades within 600 ms to the upstream's own average, and is divided out of what is learned. The first samples of a model's prefill time count more. Estimates of prefill and call times pass between VMs (fields 21 and 22), after all else has its room in the datagram.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -108,8 +108,11 @@
 	a.timeToHead = time.Since(a.startedAt)
 	x.proxy.isolation.recordReachable()
 	a.recordNotices()
-	if a.attemptStatus == exchange.Answered {
+	switch {
+	case a.attemptStatus == exchange.Answered:
 		x.proxy.fleet.FirstByte(time.Now(), pick, a.head.Load)
+	case a.attemptStatus == exchange.Rejected && a.head.Load != nil:
+		x.proxy.fleet.RecordRejection(time.Now(), pick, *a.head.Load)
 	}
 	return a
 }
@@ -225,7 +228,7 @@
 		status, confidence = a.head.Status, a.head.Confidence
 	}
 	klog.InfoS("attempt: done", "request", a.state.req.ID, "upstream", a.pick.ID, "version", a.pick.Version,
-		"model", a.model, "why", a.state.versionReason, "cost", int(a.pick.Cost), "candidates", a.pick.EligibleCount,
+		"model", a.model, "why", a.state.versionReason, "cost", int(a.pick.Cost), "candidates", a.pick.EligibleCount, "zone", a.pick.ZoneChoice,
 		"uncached", a.pick.UncachedTokens, "expect", a.pick.ExpectedLatency.Milliseconds(), "firstByte", a.timeToHead.Milliseconds(),
 		"took", time.Since(a.startedAt).Milliseconds(), "fate", a.attemptStatus, "status", status, "confidence", confidence, "running", a.running(),
 		"events", a.pace.events, "interval", a.pace.interval().Milliseconds(), "framing", a.framing, "leftover", a.leftover, "end", upstreamOutcome, "cause", a.endCause(), "err", logs.Err(a.err))
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/cranberrypier/cranberrypier/internal/fleet"
 	"github.com/cranberrypier/cranberrypier/internal/relay"
 )
 
@@ -33,6 +34,7 @@
 	brittle     *prometheus.CounterVec
 	limited     *prometheus.CounterVec
 	badLoads    prometheus.Counter
+	zoneChoices *prometheus.CounterVec
 	versions    *prometheus.CounterVec
 
 	blockedRecords *prometheus.CounterVec
@@ -88,6 +90,9 @@
 		}, []string{"version", "says"}),
 		brittle: newBrittleCounter(),
 		limited: newLimitedCounter(),
+		zoneChoices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pier_zone_choices_total", Help: "Attempts at upstreams of services that prefer the own zone, by what became of the preference.",
+		}, []string{"choice"}),
 		badLoads: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pier_bad_load_reports_total", Help: "Responses of upstreams whose load report could not be parsed.",
 		}),
@@ -96,7 +101,7 @@
 
 		routes: labelSet{maxValues: maxRouteLabels}, versionNames: labelSet{maxValues: maxVersionLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.badLoads, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.badLoads, m.zoneChoices, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration)
 	return m
 }
 
@@ -116,6 +121,7 @@
 		"pier_store_age_seconds":    {"Age of the latest proof that nothing of the store is missing.", f.storeAgeGauge},
 		"pier_body_bytes":           {"Bytes of requests' bodies that are held.", s.bodies.inUse},
 		"pier_limited_upstreams":    {"Upstreams that name a limit for all VMs together.", func() float64 { return float64(s.fleet.LimitedUpstreams()) }},
+		"pier_work_time_reporters":  {"Upstreams that reported how long work takes there.", func() float64 { return float64(s.fleet.WorkTimeReporters()) }},
 		"pier_brittle_services":     {"Services whose upstreams crash if they have to reject too many requests.", func() float64 { return float64(s.fleet.BrittleServices(time.Now())) }},
 	}
 	for name, g := range gauges {
@@ -178,6 +184,9 @@
 func (m *Metrics) countAttempt(a *attempt) {
 	m.attempts.WithLabelValues(a.model, a.attemptStatus.String()).Inc()
 	m.attemptEnds.WithLabelValues(string(a.endCause())).Inc()
+	if a.pick.ZoneChoice != fleet.ZoneIgnored {
+		m.zoneChoices.WithLabelValues(a.pick.ZoneChoice.String()).Inc()
+	}
 	if a.framing != "" {
 		m.bodyEnds.WithLabelValues(string(a.framing), a.bodyEnd()).Inc()
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -22,6 +22,8 @@
 		Stopping:        func() bool { return s.stop.Load() != nil },
 		Brittle:         s.fleet.BrittleReports,
 		Limits:          s.fleet.LimitReports,
+		PrefillTimes:    s.fleet.PrefillReports,
+		CallTimes:       s.fleet.CallTimeReports,
 		OnMessage:       s.applyMessage,
 		OnMembership:    s.setVMs,
 		IncarnationName: incarnationName,
@@ -48,6 +50,8 @@
 	}
 	s.mergeBrittle(now, m.From.Name, m.Brittle)
 	s.mergeRateLimits(now, m.From.Name, m.Limits)
+	s.fleet.MergePrefill(m.PrefillTimes)
+	s.fleet.MergeCallTimes(now, m.CallTimes)
 	for _, d := range m.Departures {
 		if s.fleet.RecordLeaving(now, d, false) {
 			klog.InfoS("fleet: another VM reported that the upstream is leaving", "upstream", d.Upstream, "born", d.Incarnation, "from", m.From.Name)
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -62,7 +62,10 @@
 	UncachedTokens int
 	// MsPerToken is the prefill time per uncached prompt token, in ms.
 	MsPerToken float64
-	// LatencyMs is the average latency of a plain call.
+	// WorkTime is how long work takes there at the moment, as a multiple of the usual; zero
+	// if unknown.
+	WorkTime float64
+	// LatencyMs is the average latency of a plain call while work takes as long as usual.
 	LatencyMs float64
 	// Slowdown is the factor by which first tokens arrive later than their prefill
 	// time predicts.
@@ -88,14 +91,19 @@
 // engines this is the prefill of the prompts ahead and of the request's own
 // prompt; for plain services it is the wait for a slot and the call.
 func (c Candidate) ExpectedLatencyMs() float64 {
+	work := c.WorkTime
+	if work == 0 {
+		work = 1
+	}
 	if c.ModelEngine {
 		prefill := c.PrefillBacklogMs + float64(c.UncachedTokens+firstTokenOverheadTokens)*c.MsPerToken
-		return prefill*c.Slowdown + c.InFlight*decodeCostMs
+		return (prefill*c.Slowdown + c.InFlight*decodeCostMs) * work
 	}
 	latency := c.LatencyMs
 	if latency == 0 {
 		latency = defaultLatencyMs
 	}
+	latency *= work
 	slots := float64(max(c.Slots, 1))
 	queue := max(c.InFlight+1-slots, 0) / slots * latency
 	crowding := max(c.InFlight/slots-crowdingThreshold, 0) * latency
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -74,9 +74,10 @@
 	nextReportExpiry time.Time
 	// drawnBuf, reachableBuf and unreachableBuf are buffers reused by choose.
 	drawnBuf, reachableBuf, unreachableBuf []*member
+	locality                               localityChoice // reused by choose
 	rng                                    *rand.Rand
 	coldRates                              map[string]float64
-	msPerToken                             map[string]float64 // prefill time per uncached prompt token in ms, by model
+	prefillTimes                           prefillTimes // by model
 	// graceUntil is the end of the period in which removals are delayed.
 	graceUntil time.Time
 	departures departures
@@ -95,7 +96,7 @@
 	return &Fleet{
 		cfg: cfg, members: make(map[string]*member), pools: make(map[string]*servicePool),
 		rng:       rand.New(rand.NewPCG(xxhash.Sum64String(cfg.VM), 0)), //nolint:gosec // draws upstreams
-		withdrawn: make(map[string]bool), zoneHealth: make(map[string]*zoneHealth), vmReports: make(map[string]*vmReport), coldRates: make(map[string]float64), msPerToken: make(map[string]float64),
+		withdrawn: make(map[string]bool), zoneHealth: make(map[string]*zoneHealth), vmReports: make(map[string]*vmReport), coldRates: make(map[string]float64), prefillTimes: make(prefillTimes),
 		departures: newDepartures(), wishes: make(map[string]wishes), brittle: make(map[string]*brittleService),
 	}
 }
@@ -204,7 +205,7 @@
 		f.restoreWishes(now, m)
 		return
 	}
-	old.Upstream = u
+	old.Upstream, old.health = u, nil
 	old.removeAt = time.Time{}
 }
 
@@ -265,6 +266,7 @@
 	for _, p := range f.pools {
 		slices.SortFunc(p.members, func(a, b *member) int { return strings.Compare(a.ID, b.ID) })
 		p.rankInVersions()
+		p.countZones()
 	}
 	f.countLimited()
 }
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -32,11 +32,6 @@
 	MaxBackoff = time.Second
 	// latencyWeight is the weight of the newest sample in the average latency.
 	latencyWeight = 0.2
-	// msPerTokenUpWeight and msPerTokenDownWeight are the weights of a sample above
-	// and below the estimated prefill time per uncached prompt token; with this ratio
-	// the estimate settles near the first quartile.
-	msPerTokenUpWeight   = 0.03
-	msPerTokenDownWeight = 0.09
 	// maxSlowdown is the upper bound of an upstream's slowdown; the lower bound is 0.5.
 	maxSlowdown = 10
 )
@@ -72,11 +67,18 @@
 	addressTaken bool
 	backoffUntil time.Time
 	backoff      time.Duration
+	// health is that of the zone; nil until it is first needed.
+	health *zoneHealth
 	// pausedUntil is the end of the pause that the upstream asked for.
 	pausedUntil time.Time
 
-	latencyMs float64 // average of answered plain calls
-	slowdown  float64 // factor by which first tokens arrive later than their prefill time predicts
+	// latencyMs is the average of answered plain calls, and slowdown the factor by which first
+	// tokens arrive later than their prefill time predicts, both while work takes as long as
+	// usual.
+	latencyMs float64
+	slowdown  float64
+	work      workTime
+	calls     callTime // for the choice by zone
 
 	sentAt        []time.Time // this VM's requests in the cold window
 	coldShare     coldShare
--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -83,11 +83,15 @@
 	Upstream
 	// ExpectedLatency is the expected time to the first byte.
 	ExpectedLatency time.Duration
+	// WorkTime is how long work takes at the upstream as a multiple of the usual, as
+	// ExpectedLatency includes it.
+	WorkTime float64
 	// Cost is the cost of the chosen upstream, EligibleCount the number of eligible
 	// upstreams and UncachedTokens the prompt tokens that need prefilling, for the log.
 	Cost           float64
 	EligibleCount  int
 	UncachedTokens int
+	ZoneChoice     ZoneChoice
 
 	model         string
 	prefillTokens int     // prompt tokens to prefill
@@ -137,6 +141,7 @@
 	candidate Candidate
 	cost      float64
 	eligible  int
+	zone      ZoneChoice
 	backlogMs float64 // prefill time of the prompts without a first token, averaged over the eligible upstreams
 }
 
@@ -153,10 +158,14 @@
 	if b := f.brittleOf(now, q.Service); b != nil {
 		eligible = f.preferRoom(now, b, q.FirstAttempt, eligible)
 	}
-	key, msPerToken := q.promptKey(), f.msPerTokenOf(q.Model)
+	key, msPerToken := q.promptKey(), f.prefillTimes.of(q.Model).msPerToken()
 	preferred, second := p.preferred(key, eligible)
 	preferredShare, secondShare := uncachedShares(len(p.members))
 	best := choice{eligible: len(eligible)}
+	byZone := f.prefersLocal(now, q, p)
+	if byZone {
+		f.locality.reset(averageCallTime(now, eligible))
+	}
 	for _, m := range eligible {
 		uncachedShare := 1.0
 		switch m {
@@ -166,11 +175,24 @@
 			uncachedShare = secondShare
 		}
 		c := f.candidate(now, q, m, prompt{key: key, msPerToken: msPerToken, uncachedShare: uncachedShare})
+		if byZone {
+			c.LatencyMs = m.calls.estimate(now, f.locality.averageCallMs)
+		}
 		best.backlogMs += c.PrefillBacklogMs / float64(len(eligible))
 		cost := c.Cost(q.TargetLatency)
 		if best.member == nil || cost < best.cost {
 			best.member, best.candidate, best.cost = m, c, cost
 		}
+		if byZone {
+			f.locality.add(m, &c, cost)
+		}
+	}
+	if byZone {
+		chosen, zone := f.locality.choose(f.rng, q.TargetLatency)
+		if best.zone = zone; chosen.member != nil && chosen.member != best.member {
+			best.member, best.cost = chosen.member, chosen.cost
+			best.candidate = f.candidateByZone(now, q, chosen.member)
+		}
 	}
 	return best, Picked
 }
@@ -303,7 +325,7 @@
 
 func (f *Fleet) candidate(now time.Time, q Query, m *member, p prompt) Candidate {
 	c := Candidate{
-		Slots: m.Slots, LatencyMs: m.latencyMs, Slowdown: m.slowdown, FailureRate: m.currentFailureRate(now),
+		Slots: m.Slots, WorkTime: m.work.at(now), LatencyMs: m.latencyMs, Slowdown: m.slowdown, FailureRate: m.currentFailureRate(now),
 		SameZone: m.Zone == f.cfg.Zone, ModelEngine: q.ModelEngine, MsPerToken: p.msPerToken,
 	}
 	// There are two estimates of the other VMs' requests: the upstream's report and
@@ -317,13 +339,6 @@
 	return c
 }
 
-func (f *Fleet) msPerTokenOf(model string) float64 {
-	if p := f.msPerToken[model]; p > 0 {
-		return p
-	}
-	return defaultMsPerToken
-}
-
 func promptKeyOf(prompt uint64, model string) uint64 {
 	return prompt ^ xxhash.Sum64String(model)
 }
@@ -331,8 +346,8 @@
 func (f *Fleet) startAttempt(now time.Time, q Query, best choice) *Pick {
 	m, c := best.member, best.candidate
 	p := &Pick{
-		Upstream: m.Upstream, Cost: best.cost, EligibleCount: best.eligible, UncachedTokens: c.UncachedTokens,
-		ExpectedLatency: millisToDuration(c.ExpectedLatencyMs()), model: q.Model, startedAt: now,
+		Upstream: m.Upstream, Cost: best.cost, EligibleCount: best.eligible, UncachedTokens: c.UncachedTokens, ZoneChoice: best.zone,
+		ExpectedLatency: millisToDuration(c.ExpectedLatencyMs()), model: q.Model, WorkTime: c.WorkTime, startedAt: now,
 	}
 	if q.ModelEngine {
 		p.prefillTokens = c.UncachedTokens + firstTokenOverheadTokens
@@ -367,27 +382,21 @@
 	m.backoffUntil = time.Time{}
 	if load != nil {
 		m.recordLoad(now, *load)
+		m.work.record(now, load.WorkTime)
 	}
+	// What is learned of the upstream is its lasting speed. The work time that it reports
+	// with the answer is that of the attempt.
+	work := m.work.at(now)
 	elapsedMs := float64(now.Sub(p.startedAt).Microseconds()) / 1000
 	if p.prefillTokens == 0 {
-		m.latencyMs = movingAverage(m.latencyMs, elapsedMs)
+		m.latencyMs = movingAverage(m.latencyMs, elapsedMs/work)
+		m.calls.record(now, elapsedMs/work)
 		return
 	}
-	ratio := elapsedMs / max(float64(p.ExpectedLatency.Microseconds())/1000, 1)
+	expectedMs := float64(p.ExpectedLatency.Microseconds()) / 1000 * work / p.WorkTime
 	// ExpectedLatency includes the previous slowdown, hence the product.
-	m.slowdown = min(max(movingAverage(m.slowdown, m.slowdown*ratio), 0.5), maxSlowdown)
-	f.msPerToken[p.model] = moveTowardFirstQuartile(f.msPerTokenOf(p.model), elapsedMs/float64(p.prefillTokens))
-}
-
-// moveTowardFirstQuartile moves an estimate toward the first quartile of the samples. Higher
-// samples are less useful: a first token that waited for the prefill of other
-// prompts says little about the prefill of its own.
-func moveTowardFirstQuartile(old, sample float64) float64 {
-	weight := msPerTokenUpWeight
-	if sample < old {
-		weight = msPerTokenDownWeight
-	}
-	return old + weight*(sample-old)
+	m.slowdown = min(max(movingAverage(m.slowdown, m.slowdown*elapsedMs/max(expectedMs, 1)), 0.5), maxSlowdown)
+	f.prefillTimes.record(p.model, elapsedMs/work/float64(p.prefillTokens))
 }
 
 func movingAverage(old, sample float64) float64 {
--- a/internal/fleet/pool.go
+++ b/internal/fleet/pool.go
@@ -27,7 +27,9 @@
 // servicePool holds the upstreams of one service. It is replaced when they change.
 type servicePool struct {
 	members []*member // sorted by ID
-	homes   *lru.Cache[uint64, [homesPerPrompt]*member]
+	// zones is the number of availability zones of the members.
+	zones int
+	homes *lru.Cache[uint64, [homesPerPrompt]*member]
 }
 
 func newPool() *servicePool {
@@ -38,6 +40,15 @@
 	return &servicePool{homes: homes}
 }
 
+// countZones counts the zones of the members.
+func (p *servicePool) countZones() {
+	zones := make(map[string]bool)
+	for _, m := range p.members {
+		zones[m.Zone] = true
+	}
+	p.zones = len(zones)
+}
+
 // rankInVersions ranks the members of each version by the hash of their IDs, so that
 // all VMs find the same first ones of them.
 func (p *servicePool) rankInVersions() {
--- a/internal/fleet/zone.go
+++ b/internal/fleet/zone.go
@@ -18,11 +18,15 @@
 }
 
 func (f *Fleet) zoneHealthOf(m *member) *zoneHealth {
+	if m.health != nil {
+		return m.health
+	}
 	z := f.zoneHealth[m.Zone]
 	if z == nil {
 		z = &zoneHealth{unreachableIDs: make(map[string]bool)}
 		f.zoneHealth[m.Zone] = z
 	}
+	m.health = z
 	return z
 }
 
--- a/internal/gossip/builds_test.go
+++ b/internal/gossip/builds_test.go
@@ -35,5 +35,7 @@
 	assert.EqualValues(t, 6, m.StoreTroubleMS)
 	assert.True(t, m.Stopping)
 	assert.Empty(t, m.Limits, "it knows none")
+	assert.Empty(t, m.PrefillTimes)
+	assert.Empty(t, m.CallTimes)
 	assert.Equal(t, raw, encode(m), "the older build reads what this one writes, field by field")
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -51,6 +51,10 @@
 	Brittle []fleet.BrittleReport `cbor:"13,keyasint,omitempty"`
 	// Limits are the limits that upstreams name, as far as From knows.
 	Limits []fleet.LimitReport `cbor:"14,keyasint,omitempty"`
+	// PrefillTimes and CallTimes are From's own estimates of how fast models and plain
+	// upstreams are. They come with Members, or for a new VM.
+	PrefillTimes []fleet.PrefillReport  `cbor:"21,keyasint,omitempty"`
+	CallTimes    []fleet.CallTimeReport `cbor:"22,keyasint,omitempty"`
 	// StoreTroubleMS is the time in milliseconds, at least 1, since a VM of From's
 	// zone last tried to read the store without success; zero if none did lately.
 	StoreTroubleMS int64 `cbor:"9,keyasint,omitempty"`
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -97,12 +97,16 @@
 	for i := range 100 {
 		m.Members = append(m.Members, member(i))
 		m.Loads = append(m.Loads, fleet.VMLoad{Upstream: fmt.Sprintf("i-%010d", i), Inflight: 3, PrefillMs: 1000})
+		m.PrefillTimes = append(m.PrefillTimes, fleet.PrefillReport{Model: "m", NanosPerToken: 5000, Samples: 9})
+		m.CallTimes = append(m.CallTimes, fleet.CallTimeReport{Upstream: "u", Micros: 30000, Samples: 9})
 	}
 	raw := encode(m)
 	assert.LessOrEqual(t, len(raw), maxDatagramSize)
 	var back Message
 	require.NoError(t, cbor.Unmarshal(raw, &back))
 	assert.NotEmpty(t, back.Loads)
+	assert.Empty(t, back.PrefillTimes, "estimates take no room from loads and members")
+	assert.Empty(t, back.CallTimes)
 }
 
 // The most that is shared of suspects fits a datagram.
@@ -153,6 +157,8 @@
 			PeerAppeared:  func() {},
 			Departures:    func(time.Time) []fleet.Departure { return []fleet.Departure{{Upstream: "u2", Incarnation: 4}} },
 			Limits:        func(time.Time) []fleet.LimitReport { return nil },
+			PrefillTimes:  func() []fleet.PrefillReport { return nil },
+			CallTimes:     func(time.Time) []fleet.CallTimeReport { return nil },
 			Brittle: func(time.Time) []fleet.BrittleReport {
 				return []fleet.BrittleReport{{Service: "s", Limit: 8, HeardMS: 2}}
 			},
@@ -289,7 +295,7 @@
 }
 
 // Guards against VMs of the build before that drop the datagrams of this one, because they
-// do not know the limits of upstreams.
+// do not know the limits of upstreams, or the estimates of speeds.
 func TestOlderBuildReadsDatagramsWithLimits(t *testing.T) {
 	type olderMessage struct {
 		From    Member                `cbor:"1,keyasint"`
@@ -298,7 +304,9 @@
 	}
 	raw := encode(Message{
 		From: Member{Name: "vm-1"}, Loads: []fleet.VMLoad{{Upstream: "u1", Inflight: 2}},
-		Limits: []fleet.LimitReport{{Upstream: "u1", Incarnation: 1, PerSecond: 1.5, HeardMS: 3}},
+		Limits:       []fleet.LimitReport{{Upstream: "u1", Incarnation: 1, PerSecond: 1.5, HeardMS: 3}},
+		PrefillTimes: []fleet.PrefillReport{{Model: "m", NanosPerToken: 5000, Samples: 9}},
+		CallTimes:    []fleet.CallTimeReport{{Upstream: "u1", Micros: 30000, Samples: 9}},
 	})
 	var m olderMessage
 	require.NoError(t, cbor.Unmarshal(raw, &m))
--- a/internal/gossip/run.go
+++ b/internal/gossip/run.go
@@ -66,6 +66,10 @@
 	Stopping func() bool
 	Brittle  func(now time.Time) []fleet.BrittleReport
 	Limits   func(now time.Time) []fleet.LimitReport
+	// PrefillTimes and CallTimes return this VM's own estimates of how fast models and plain
+	// upstreams are.
+	PrefillTimes func() []fleet.PrefillReport
+	CallTimes    func(now time.Time) []fleet.CallTimeReport
 	// Digest returns the digest of this VM's copy of the store; nil before the copy
 	// was first confirmed.
 	Digest func(now time.Time) *relay.Digest
@@ -245,6 +249,7 @@
 		m.RollOuts = s.callbacks.RollOuts(now)
 	}
 	if withMembers || newPeers {
+		m.PrefillTimes, m.CallTimes = s.callbacks.PrefillTimes(), s.callbacks.CallTimes(now)
 		if suspects := s.callbacks.Suspects(now); len(suspects) > 0 {
 			s.sendTo(targets, Message{From: s.self, Suspects: suspects, Unreachable: m.Unreachable, Stopping: m.Stopping})
 		}
@@ -267,8 +272,8 @@
 	}
 }
 
-// encode encodes a message. While the datagram is too long, it halves the departures,
-// then the suspects, the relayed counters of roll-outs, the members,
+// encode encodes a message. While the datagram is too long, it drops the estimates of call
+// times, then of prefill times, and halves the departures, then the suspects, the relayed counters of roll-outs, the members,
 // the loads and the brittle services; a later datagram can carry the dropped entries. If the datagram is
 // still too long without them, it is returned as it is.
 func encode(m Message) []byte {
@@ -281,6 +286,10 @@
 		switch {
 		case len(raw) <= maxDatagramSize:
 			return raw
+		case len(m.CallTimes) > 0:
+			m.CallTimes = nil
+		case len(m.PrefillTimes) > 0:
+			m.PrefillTimes = nil
 		case len(m.Departures) > 0:
 			m.Departures = m.Departures[:len(m.Departures)/2]
 		case len(m.Suspects) > 0:
