edge: A version is not held to be bad because its machines report slowness

Cause: a call on a machine that reports that work takes 2.5 times as long counted as late or slow against its upstream's version.

Change: the reported work time excuses an attempt by as much, up to 5 times; what the expected latency already includes of it is taken out before. attempt: done logs workTime.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -230,6 +230,6 @@
 	klog.InfoS("attempt: done", "request", a.state.req.ID, "upstream", a.pick.ID, "version", a.pick.Version,
 		"model", a.model, "why", a.state.versionReason, "cost", int(a.pick.Cost), "candidates", a.pick.EligibleCount, "zone", a.pick.ZoneChoice,
 		"uncached", a.pick.UncachedTokens, "expect", a.pick.ExpectedLatency.Milliseconds(), "firstByte", a.timeToHead.Milliseconds(),
-		"took", time.Since(a.startedAt).Milliseconds(), "fate", a.attemptStatus, "status", status, "confidence", confidence, "running", a.running(),
+		"took", time.Since(a.startedAt).Milliseconds(), "fate", a.attemptStatus, "status", status, "confidence", confidence, "running", a.running(), "workTime", a.workTime(),
 		"events", a.pace.events, "interval", a.pace.interval().Milliseconds(), "framing", a.framing, "leftover", a.leftover, "end", upstreamOutcome, "cause", a.endCause(), "err", logs.Err(a.err))
 }
--- a/internal/edge/pace.go
+++ b/internal/edge/pace.go
@@ -59,7 +59,15 @@
 	if a.head == nil && a.attemptStatus == exchange.Unknown && !a.disconnected {
 		took = now.Sub(a.startedAt)
 	}
-	return took > max(lateThresholdFactor*a.pick.ExpectedLatency, minLateThreshold)
+	expected := float64(a.pick.ExpectedLatency)
+	excuse := a.excuse()
+	if a.pick.WorkTime > 0 {
+		expected /= a.pick.WorkTime // the excuse counts it
+		if a.workTime() == 0 {
+			excuse = max(a.pick.WorkTime, 1)
+		}
+	}
+	return float64(took) > excuse*max(lateThresholdFactor*expected, float64(minLateThreshold))
 }
 
 // countedAttempts are the attempts of a request that count for their versions: the
@@ -88,8 +96,28 @@
 	return a.head.Load.Running
 }
 
-// recordPace records how fast the upstream worked, once for an attempt.
-func (a *attempt) recordPace(now time.Time) {
+// workTime returns how long work took at the upstream as it reported with its response, as
+// a multiple of the usual; zero if it did not.
+func (a *attempt) workTime() float64 {
+	if a.head == nil || a.head.Load == nil {
+		return 0
+	}
+	return a.head.Load.WorkTime
+}
+
+// maxWorkTimeExcuse limits the reported work time that excuses an attempt. A version whose
+// upstreams report more is judged by the rest.
+const maxWorkTimeExcuse = 5
+
+// excuse returns the factor by which the attempt may take longer without being held against
+// its upstream's version, because the upstream reported that work took longer on its machine.
+// Work that was faster than usual is no reason for a stricter measure: the report is of one
+// moment.
+func (a *attempt) excuse() float64 { return min(max(a.workTime(), 1), maxWorkTimeExcuse) }
+
+// versionPace returns how fast the upstream worked, in the terms of a machine that is as
+// fast as usual. PerUnit is zero if the attempt says nothing of it.
+func (a *attempt) versionPace() canary.Pace {
 	p := canary.Pace{
 		Service: a.state.req.Service.Name, Version: a.pick.Version, Work: a.model, PerUnit: a.pace.interval(), Running: canary.UnknownRunning,
 	}
@@ -98,6 +126,13 @@
 	} else {
 		p.Running = a.running()
 	}
+	p.PerUnit = time.Duration(float64(p.PerUnit) / a.excuse())
+	return p
+}
+
+// recordPace records how fast the upstream worked, once for an attempt.
+func (a *attempt) recordPace(now time.Time) {
+	p := a.versionPace()
 	cold := a.startedAt.Before(a.pick.ColdUntil)
 	if a.paceRecorded || p.PerUnit == 0 || cold {
 		return
