--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/cranberrypier/cranberrypier/internal/fleet"
 	"github.com/cranberrypier/cranberrypier/internal/relay"
 )
 
@@ -37,6 +38,7 @@
 	waitTime    *prometheus.HistogramVec
 	unbuffered  prometheus.Counter
 	stalled     prometheus.Counter
+	zoneChoices *prometheus.CounterVec
 	versions    *prometheus.CounterVec
 
 	blockedRecords *prometheus.CounterVec
@@ -92,6 +94,9 @@
 		}, []string{"version", "says"}),
 		brittle: newBrittleCounter(),
 		limited: newLimitedCounter(),
+		zoneChoices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pier_zone_choices_total", Help: "Attempts at upstreams of services that prefer the own zone, by what became of the preference.",
+		}, []string{"choice"}),
 		badLoads: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "pier_bad_load_reports_total", Help: "Responses of upstreams whose load report could not be parsed.",
 		}),
@@ -107,7 +112,7 @@
 
 		routes: labelSet{maxValues: maxRouteLabels}, versionNames: labelSet{maxValues: maxVersionLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.badLoads, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration, m.waits, m.waitTime, m.unbuffered, m.stalled)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.badLoads, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration, m.waits, m.waitTime, m.unbuffered, m.stalled, m.zoneChoices)
 	return m
 }
 
@@ -129,6 +134,7 @@
 		"pier_waiting_requests":     {"Requests that wait for room at an upstream.", func() float64 { return float64(s.rooms.waiting.Load()) }},
 		"pier_response_bytes":       {"Bytes of responses that are buffered.", s.responses.inUse},
 		"pier_limited_upstreams":    {"Upstreams that name a limit for all VMs together.", func() float64 { return float64(s.fleet.LimitedUpstreams()) }},
+		"pier_work_time_reporters":  {"Upstreams that reported how long work takes there.", func() float64 { return float64(s.fleet.WorkTimeReporters()) }},
 		"pier_brittle_services":     {"Services whose upstreams crash if they have to reject too many requests.", func() float64 { return float64(s.fleet.BrittleServices(time.Now())) }},
 	}
 	for name, g := range gauges {
@@ -191,6 +197,9 @@
 func (m *Metrics) countAttempt(a *attempt) {
 	m.attempts.WithLabelValues(a.model, a.attemptStatus.String()).Inc()
 	m.attemptEnds.WithLabelValues(string(a.endCause())).Inc()
+	if a.pick.ZoneChoice != fleet.ZoneIgnored {
+		m.zoneChoices.WithLabelValues(a.pick.ZoneChoice.String()).Inc()
+	}
 	if a.framing != "" {
 		m.bodyEnds.WithLabelValues(string(a.framing), a.bodyEnd()).Inc()
 	}
--- a/internal/fleet/roomsoon.go
+++ b/internal/fleet/roomsoon.go
@@ -47,7 +47,7 @@
 	members := f.membersOf(q.Service)
 	best := 0.0
 	for _, m := range members[:min(len(members), maxEstimateMembers)] {
-		c := f.candidate(now, q, m, prompt{msPerToken: f.msPerTokenOf(q.Model), uncachedShare: preferredUncachedShareLargeFleet})
+		c := f.candidate(now, q, m, prompt{msPerToken: f.prefillTimes.of(q.Model).msPerToken(), uncachedShare: preferredUncachedShareLargeFleet})
 		c.InFlight, c.PrefillBacklogMs = 0, 0
 		if ms := c.ExpectedLatencyMs(); best == 0 || ms < best {
 			best = ms
