edge: An attempt at another VM ends when that VM's error response was passed on

Cause: deliver returned without a release in this case. The request stayed counted at the other VM (forwarding.Core.Done was not called), and neither 'forward: done' nor pier_forwards_total said that it had ended. Change: the attempt is released. Result: TestForwardedErrorEndsItsAttempt fails without the change (the counter stays absent) and passes with it.

--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -57,7 +57,11 @@
 // if the response is a failure that another upstream might not have.
 func (x *requestState) deliver(a *attempt) bool {
 	if a.finalError {
-		return !a.vmStopped && x.passFinalError(a)
+		if a.vmStopped || !x.passFinalError(a) {
+			return false
+		}
+		a.release(a.outcome())
+		return true
 	}
 	if a.attemptStatus != exchange.Answered || !a.head.Usable() {
 		return false
--- a/internal/edge/forward_test.go
+++ b/internal/edge/forward_test.go
@@ -101,6 +101,23 @@
 	}
 }
 
+// Guards against an attempt at another VM that never ends, because that VM's own error
+// response was passed on: it stays counted as this VM's request there.
+func TestForwardedErrorEndsItsAttempt(t *testing.T) {
+	d := &cutDialer{}
+	s := newSite(t)
+	s.dial["vm-1"], s.metrics = d.dial, freeAddress(t)
+	s.startDefaults()
+	s.startVM("vm-2")
+	time.Sleep(time.Second) // the VMs get to know each other
+	d.cut.Store(true)
+	s.do(call{id: "warm", path: "/look/x", key: key})
+	s.setFaults("o", platformside.ReplicaFaults{Reject: true})
+	before := max(s.metric(`pier_forwards_total{result="error"}`), 0)
+	assert.Equal(t, 503, s.do(call{id: "r1", path: "/once/x", key: key}).status)
+	assert.Equal(t, before+1, s.metric(`pier_forwards_total{result="error"}`))
+}
+
 // Guards against replicas that work on after the caller of a forwarded request has left.
 func TestForwardedWorkEndsWhenTheCallerLeaves(t *testing.T) {
 	newForwardingSite(t, 2).assertWorkEndsWithTheCaller()
