--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -55,3 +55,17 @@
 	_, _ = io.Copy(io.Discard, resp.Body) // only the first event is timed
 	return took
 }
+
+// BenchmarkPlainCall measures a call whose response is buffered.
+func BenchmarkPlainCall(b *testing.B) {
+	s := newSite(b)
+	s.startDefaults()
+	for _, p := range s.replicas {
+		p.ProcessingTime = 0
+	}
+	for i := 0; b.Loop(); i++ {
+		if g := s.do(call{id: fmt.Sprint("c", i), path: "/look/x", key: key}); g.status != 200 {
+			b.Fatal(g.status, g.err)
+		}
+	}
+}
