fleet: Plain services prefer their zone with upstreams in two zones, too

The test stated the earlier decision (two zones: by the lowest cost); it now states that of two zones the own is preferred, and that of one is ignored.

--- a/internal/fleet/locality.go
+++ b/internal/fleet/locality.go
@@ -22,10 +22,9 @@
 	// own count is most of what is in flight, and the lowest cost alone keeps calls in the
 	// zone while that is best for the caller. The number is twice minAssumedVMs.
 	minLocalityVMs = 16
-	// minLocalityZones is the number of zones with an upstream of the service, the own one
-	// among them, from which on the rule applies. With one other zone there is no choice
-	// among which the work that spills over could be divided.
-	minLocalityZones = 3
+	// minLocalityZones is the number of zones with an upstream of the service from which on
+	// the rule applies. It holds while scale-ins leave upstreams in two zones only.
+	minLocalityZones = 2
 	// Work spills over from spillFrom busy slots on, as a share of all slots, and all of it
 	// from spillAll on. In between, the share rises linearly. An upstream queues a few times
 	// its slots, so that at spillAll a request still waits for less than the time of
--- a/internal/fleet/locality_test.go
+++ b/internal/fleet/locality_test.go
@@ -62,16 +62,16 @@
 	}
 }
 
-// Guards against a small deployment, or a service with two zones, that is served otherwise
-// than by the lowest cost.
+// Guards against a small deployment, or a service with one zone, that is served otherwise
+// than by the lowest cost, and against calls that leave their zone after a scale-in.
 func TestSmallDeploymentPrefersItsZone(t *testing.T) {
 	day := zoneDay{vms: 6, zones: 3, perZone: 1, load: 0.6, firstZone: 2.5, seed: 1}
 	byCost := day
 	byCost.byCost = true
 	assert.Equal(t, runZoneDay(byCost).String(), runZoneDay(day).String())
 
-	f := localFleet("a", "b")
-	assert.Equal(t, ZoneIgnored, mustPick(t, f, begin, query()).ZoneChoice)
+	assert.Equal(t, ZoneIgnored, mustPick(t, localFleet("a"), begin, query()).ZoneChoice)
+	assert.Equal(t, ZoneOwn, mustPick(t, localFleet("a", "b"), begin, query()).ZoneChoice)
 	engines := localFleet("a", "b", "c", "d")
 	q := query()
 	q.ModelEngine, q.Model = true, "m"
