edge: Header sections and connections are bounded by the VM's memory and descriptors

Cause: net/http parses a whole header section, up to 64 KB whatever the configuration says, before a handler runs. A line of three letters takes some 170 bytes per map, and a VM kept three maps a request. Nothing bounded the number of connections.

Change: the connections of all four listeners are wrapped (connGuard, guardedConn). A scanner measures a section as its bytes are read, before net/http parses them. Over limits.maxHeaderBytes, or the lines that it allows: 431. Without room in the byte budget (200 bytes a line, 3 a byte, 64 an element of a list; the first 16 KB are part of the connection's share): 503 with Retry-After, 1114. At the limit of open connections the one that has been silent longest is closed; if all have requests, the new one.

--- a/internal/edge/app.go
+++ b/internal/edge/app.go
@@ -39,7 +39,11 @@
 	// than any such setting, so that this VM never closes a connection that a
 	// caller is about to reuse.
 	callerIdleTimeout = 60 * time.Second
-	// maxHeaderBytes limits the size of a request's header.
+	// adminReadTimeout limits how long a readiness check or a request for metrics may
+	// take to arrive.
+	adminReadTimeout = 10 * time.Second
+	// maxHeaderBytes limits the size of a request's header if the configuration sets no
+	// limit.
 	maxHeaderBytes = 64 << 10
 	// memoryLimitShare is the share of the VM's memory that the garbage
 	// collector uses as its soft limit.
@@ -84,6 +88,7 @@
 	start    int64 // start time, in Unix milliseconds
 	// peerServer serves the other VMs; nil if no address for them is configured.
 	peerServer *http.Server
+	conns      connBounds
 }
 
 // incarnationName identifies an incarnation of a VM by its name and start time.
@@ -118,7 +123,7 @@
 	s.lastAnswers, s.beginLastAnswers = context.WithCancel(context.Background())
 	follower := NewFollower(s, o, time.Now())
 	o.Metrics.registerGauges(s, follower)
-	return &App{options: o, proxy: s, follower: follower, start: start}
+	return &App{options: o, proxy: s, follower: follower, start: start, conns: boundsOf(o.Settings.Limits)}
 }
 
 // StoreTransport returns the HTTP transport for the store's client.
@@ -198,8 +203,11 @@
 		return trace.Wrap(result.New(result.AddressInUse, "cannot listen on %s: %v", a.options.Settings.PeerAddress, err))
 	}
 	server := &http.Server{
-		Handler: a.proxy.forwardedHandler(a.follower.stateHandler()), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * maxHeaderBytes,
+		Handler: a.proxy.forwardedHandler(a.follower.stateHandler()), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
 	}
+	guard := a.newGuard("peers", a.conns.peers, func() int { return 2 * a.proxy.maxHeaderBytes() }) // a VM may encode lines longer than they were
+	guard.elsewhere = true
+	listener = guard.protect(server, listener)
 	a.peerServer = server
 	context.AfterFunc(ctx, func() { _ = server.Close() }) // shutDown has let forwarded requests complete
 	go func() {
@@ -214,20 +222,25 @@
 // down gracefully.
 func (a *App) serve(ctx context.Context) error {
 	callerServer := &http.Server{
-		Handler: a.proxy, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: a.proxy, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		BaseContext: func(net.Listener) context.Context { return context.WithoutCancel(ctx) }, ConnContext: withConnRequests,
 	}
-	readinessServer := &http.Server{Handler: a.readinessHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	readinessServer := &http.Server{Handler: a.readinessHandler(), ReadTimeout: adminReadTimeout, IdleTimeout: callerIdleTimeout}
 	servers := []struct {
 		server  *http.Server
 		address string
-	}{{callerServer, a.options.Settings.CallerAddress}, {readinessServer, a.options.Settings.ReadinessAddress}}
+		guard   *connGuard
+	}{
+		{callerServer, a.options.Settings.CallerAddress, a.newGuard("callers", a.conns.callers, a.proxy.maxHeaderBytes)},
+		{readinessServer, a.options.Settings.ReadinessAddress, a.newGuard("readiness", a.conns.admin, maxAdminHeaderBytes)},
+	}
 	var group errgroup.Group
 	for _, s := range servers {
 		listener, err := listen(ctx, s.address)
 		if err != nil {
 			return trace.Wrap(result.New(result.AddressInUse, "cannot listen on %s: %v", s.address, err))
 		}
+		listener = s.guard.protect(s.server, listener)
 		group.Go(func() error { return ignoreServerClosed(s.server.Serve(listener)) })
 	}
 	a.serveMetrics(ctx)
@@ -270,8 +283,10 @@
 	}
 	r := chi.NewRouter()
 	r.Handle("/metrics", promhttp.HandlerFor(a.options.Metrics.Registry, promhttp.HandlerOpts{DisableCompression: true}))
-	go func() {
-		if err := http.Serve(listener, r); err != nil { //nolint:gosec // ends with the process
+	server := &http.Server{Handler: r, ReadTimeout: adminReadTimeout, IdleTimeout: callerIdleTimeout}
+	listener = a.newGuard("metrics", a.conns.admin, maxAdminHeaderBytes).protect(server, listener)
+	go func() { // ends with the process
+		if err := server.Serve(listener); err != nil {
 			klog.InfoS("metrics: no longer served", "err", logs.Err(err))
 		}
 	}()
--- a/internal/edge/bytebudget.go
+++ b/internal/edge/bytebudget.go
@@ -37,6 +37,7 @@
 
 	mu          sync.Mutex
 	used, large int64
+	headers     int64 // part of used, for header sections
 }
 
 func newByteBudget(memoryMB int) *byteBudget {
@@ -119,6 +120,7 @@
 		return result.New(result.BadRequest, "the body could not be read: %v", logs.Err(err))
 	}
 	x.req.Body = body
+	r.Trailer = nil // not passed on
 	return nil
 }
 
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -17,7 +17,7 @@
 // sharedPartIDs returns the IDs of the parts of a prompt that other requests may
 // share: all parts except the last.
 func sharedPartIDs(r *exchange.Request) []string {
-	var ids []string
+	ids := make([]string, 0, max(len(r.PromptParts)-1, 0))
 	for i := 0; i+1 < len(r.PromptParts); i++ {
 		ids = append(ids, r.PromptParts[i].ID)
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -33,6 +33,8 @@
 	brittle     *prometheus.CounterVec
 	limited     *prometheus.CounterVec
 	versions    *prometheus.CounterVec
+	// refusedClients counts what the guards of the listeners refused or closed.
+	refusedClients *prometheus.CounterVec
 
 	blockedRecords *prometheus.CounterVec
 	storeCalls     *prometheus.CounterVec
@@ -89,10 +91,13 @@
 		limited: newLimitedCounter(),
 
 		blockedRecords: newBlockedRecordsCounter(),
+		refusedClients: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pier_refused_clients_total", Help: "Requests and connections that a listener refused or closed for their header or number, by reason.",
+		}, []string{"listener", "reason"}),
 
 		routes: labelSet{maxValues: maxRouteLabels}, versionNames: labelSet{maxValues: maxVersionLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.versions, m.blockedRecords, m.refusedClients, m.storeCalls, m.storeReasons, m.storeDuration)
 	return m
 }
 
@@ -110,7 +115,8 @@
 		"pier_blocked_contents":     {"Contents of requests that crash upstreams and are not sent.", s.blockedContents},
 		"pier_reads_store":          {"1 while this VM reads the store itself.", f.readsStoreGauge},
 		"pier_store_age_seconds":    {"Age of the latest proof that nothing of the store is missing.", f.storeAgeGauge},
-		"pier_body_bytes":           {"Bytes of requests' bodies that are held.", s.bodies.inUse},
+		"pier_body_bytes":           {"Bytes that are held for requests' bodies and header sections.", s.bodies.inUse},
+		"pier_header_bytes":         {"Part of pier_body_bytes for header sections.", s.bodies.headersInUse},
 		"pier_limited_upstreams":    {"Upstreams that name a limit for all VMs together.", func() float64 { return float64(s.fleet.LimitedUpstreams()) }},
 		"pier_brittle_services":     {"Services whose upstreams crash if they have to reject too many requests.", func() float64 { return float64(s.fleet.BrittleServices(time.Now())) }},
 	}
@@ -143,6 +149,13 @@
 	}
 }
 
+// registerOpenConns registers a gauge of a listener's open connections.
+func (m *Metrics) registerOpenConns(listener string, open func() float64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pier_open_connections", Help: "Open connections by listener.", ConstLabels: prometheus.Labels{"listener": listener},
+	}, open))
+}
+
 // RegisterDroppedLogLines registers a counter of dropped log lines.
 func (m *Metrics) RegisterDroppedLogLines(dropped func() uint64) {
 	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -297,7 +296,7 @@
 		klog.InfoS("request: connection not reset", "request", st.req.ID, "err", logs.Err(err))
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is gone
 	}
 	_ = conn.Close() // the caller may have disconnected
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -35,7 +35,8 @@
 	// RequestURI is the request target as received: path and query, not decoded.
 	RequestURI string
 	Host       string
-	// Header holds the end-to-end headers that are forwarded.
+	// Header is the header as received. It is shared with the request of net/http, so
+	// that it is in memory once, and must not be changed.
 	Header http.Header
 	Body   []byte
 	Team   string
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -54,6 +54,8 @@
 	BlockedRecordsInvalid Code = 1112
 	// NoBodyRoom: the VM holds as many bytes of bodies as its memory allows.
 	NoBodyRoom Code = 1113
+	// NoHeaderRoom: the VM holds as many bytes of header sections as its memory allows.
+	NoHeaderRoom Code = 1114
 )
 
 // Codes of claims and delivery (1200 to 1299).
@@ -175,6 +177,7 @@
 	RateLimitInvalid:      {"rate_limit_invalid", http.StatusServiceUnavailable, NotRun, 0},
 	BlockedRecordsInvalid: {"blocked_records_invalid", http.StatusServiceUnavailable, NotRun, 0},
 	NoBodyRoom:            {"no_body_room", http.StatusServiceUnavailable, NotRun, time.Second},
+	NoHeaderRoom:          {"no_header_room", http.StatusServiceUnavailable, NotRun, time.Second},
 
 	ClaimUnavailable: {"claim_unavailable", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
 	RunUnknown:       {"run_unknown", http.StatusConflict, Unknown, 0},
