--- a/internal/edge/bytebudget.go
+++ b/internal/edge/bytebudget.go
@@ -35,6 +35,7 @@
 
 	mu          sync.Mutex
 	used, large int64
+	headers     int64 // part of used, for header sections
 }
 
 func newByteBudget(memoryMB int) *byteBudget {
@@ -117,6 +118,7 @@
 		return result.New(result.BadRequest, "the body could not be read: %v", logs.Err(err))
 	}
 	x.req.Body, x.bodyRead = body, true
+	r.Trailer = nil // not passed on
 	return nil
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -40,6 +40,8 @@
 	stalled     prometheus.Counter
 	zoneChoices *prometheus.CounterVec
 	versions    *prometheus.CounterVec
+	// refusedClients counts what the guards of the listeners refused or closed.
+	refusedClients *prometheus.CounterVec
 
 	blockedRecords *prometheus.CounterVec
 	storeCalls     *prometheus.CounterVec
@@ -109,10 +111,13 @@
 		}),
 
 		blockedRecords: newBlockedRecordsCounter(),
+		refusedClients: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pier_refused_clients_total", Help: "Requests and connections that a listener refused or closed for their header or number, by reason.",
+		}, []string{"listener", "reason"}),
 
 		routes: labelSet{maxValues: maxRouteLabels}, versionNames: labelSet{maxValues: maxVersionLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.badLoads, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration, m.waits, m.waitTime, m.unbuffered, m.stalled, m.zoneChoices)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.badLoads, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration, m.waits, m.waitTime, m.unbuffered, m.stalled, m.zoneChoices, m.refusedClients)
 	return m
 }
 
@@ -130,9 +135,10 @@
 		"pier_blocked_contents":     {"Contents of requests that crash upstreams and are not sent.", s.blockedContents},
 		"pier_reads_store":          {"1 while this VM reads the store itself.", f.readsStoreGauge},
 		"pier_store_age_seconds":    {"Age of the latest proof that nothing of the store is missing.", f.storeAgeGauge},
-		"pier_body_bytes":           {"Bytes of requests' bodies that are held.", s.bodies.inUse},
 		"pier_waiting_requests":     {"Requests that wait for room at an upstream.", func() float64 { return float64(s.rooms.waiting.Load()) }},
 		"pier_response_bytes":       {"Bytes of responses that are buffered.", s.responses.inUse},
+		"pier_body_bytes":           {"Bytes that are held for requests' bodies and header sections.", s.bodies.inUse},
+		"pier_header_bytes":         {"Part of pier_body_bytes for header sections.", s.bodies.headersInUse},
 		"pier_limited_upstreams":    {"Upstreams that name a limit for all VMs together.", func() float64 { return float64(s.fleet.LimitedUpstreams()) }},
 		"pier_work_time_reporters":  {"Upstreams that reported how long work takes there.", func() float64 { return float64(s.fleet.WorkTimeReporters()) }},
 		"pier_brittle_services":     {"Services whose upstreams crash if they have to reject too many requests.", func() float64 { return float64(s.fleet.BrittleServices(time.Now())) }},
@@ -166,6 +172,13 @@
 	}
 }
 
+// registerOpenConns registers a gauge of a listener's open connections.
+func (m *Metrics) registerOpenConns(listener string, open func() float64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pier_open_connections", Help: "Open connections by listener.", ConstLabels: prometheus.Labels{"listener": listener},
+	}, open))
+}
+
 // RegisterDroppedLogLines registers a counter of dropped log lines.
 func (m *Metrics) RegisterDroppedLogLines(dropped func() uint64) {
 	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -56,6 +56,8 @@
 	NoBodyRoom Code = 1113
 	// LoadInvalid: an upstream reports its load in a form that cannot be parsed.
 	LoadInvalid Code = 1116
+	// NoHeaderRoom: the VM holds as many bytes of header sections as its memory allows.
+	NoHeaderRoom Code = 1114
 )
 
 // Codes of claims and delivery (1200 to 1299).
@@ -202,6 +204,7 @@
 	BlockedRecordsInvalid: {"blocked_records_invalid", http.StatusServiceUnavailable, NotRun, 0},
 	LoadInvalid:           {"load_invalid", http.StatusServiceUnavailable, NotRun, 0},
 	NoBodyRoom:            {"no_body_room", http.StatusServiceUnavailable, NotRun, time.Second},
+	NoHeaderRoom:          {"no_header_room", http.StatusServiceUnavailable, NotRun, time.Second},
 
 	ClaimUnavailable: {"claim_unavailable", http.StatusServiceUnavailable, NotRun, 2 * time.Second},
 	RunUnknown:       {"run_unknown", http.StatusConflict, Unknown, 0},
