--- a/internal/overload/admit.go
+++ b/internal/overload/admit.go
@@ -84,7 +84,7 @@
 			ahead++
 		}
 	}
-	if share, neglected := q.shares.neglect(now, w); neglected && !q.hasMoreNeglected(now, w, share) {
+	if share, neglected := q.shares.neglect(now, w); neglected && !q.yieldsFloor(now, w, share) {
 		ahead = min(ahead, q.shares.untilFloor())
 	}
 	return max(firstRoom, q.drain.timeFor(ahead))
--- a/internal/overload/floor.go
+++ b/internal/overload/floor.go
@@ -161,8 +161,9 @@
 	return best
 }
 
-// hasMoreNeglected reports whether another waiting request has a lower served share.
-func (q *Queue) hasMoreNeglected(now time.Time, w *Waiter, share float64) bool {
+// yieldsFloor reports whether another waiting request gets the next grant for the floor
+// before w, whose lowest served share is given.
+func (q *Queue) yieldsFloor(now time.Time, w *Waiter, share float64) bool {
 	for _, o := range q.waiting {
 		if other, neglected := q.shares.neglect(now, o); o != w && neglected && (other < share || other == share && o.before(w)) {
 			return true
