--- a/internal/fake/sitesoak/slowreaders.go
+++ b/internal/fake/sitesoak/slowreaders.go
@@ -23,19 +23,23 @@
 	unreadBytes     = 1 << 20   // of a response
 	slowBodyBytes   = 512 << 10 // of a request
 	slowCallTimeout = 4 * time.Second
+	// unreadTime is longer than the patience that a VM has with a caller.
+	unreadTime = 6 * time.Second
 )
 
 // leaveUnread lets callers of one VM ask for large responses and read nothing of them.
 func (h *harness) leaveUnread(rng *rand.Rand, duration time.Duration) {
 	v := h.randomVM(rng)
 	h.recordEvent("callers of %s read nothing of responses of %d bytes", v.name, unreadBytes)
-	defer h.changeFaults(h.replicasOf(orderService), func(f *platformside.ReplicaFaults) { f.AnswerBytes = unreadBytes })()
+	restore := h.changeFaults(h.replicasOf(orderService), func(f *platformside.ReplicaFaults) { f.AnswerBytes = unreadBytes })
 	for i := range slowRequests {
 		if conn := h.sendRaw(v, fmt.Sprintf("%d-u-%d-%d", h.opts.Seed, rng.Uint32(), i), ""); conn != nil {
 			defer func() { _ = conn.Close() }() // the caller gives up
 		}
 	}
 	time.Sleep(duration)
+	restore()
+	time.Sleep(unreadTime)
 }
 
 // readSlowly lets an upstream read large bodies late. Work that runs at most once is
