fleet: The first samples of a model count once

What callers would see: a stopping VM refuses a request that it could finish.

Cause: since the first samples of a model make its prefill time, the same sample also raised the upstream's slowdown, against the default that it was expected by: 345 ms expected after four answers of 200 ms.

Change: the slowdown is relative to the model's estimate after the sample.

--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -393,10 +393,13 @@
 		m.calls.record(now, elapsedMs/work)
 		return
 	}
-	expectedMs := float64(p.ExpectedLatency.Microseconds()) / 1000 * work / p.WorkTime
+	f.prefillTimes.record(p.model, elapsedMs/work/float64(p.prefillTokens))
+	// The upstream's slowdown is relative to what is known of the model now, so that the first
+	// samples of a model, which make its estimate, do not count a second time.
+	relearned := f.prefillTimes.of(p.model).msPerToken() * float64(p.prefillTokens) / p.prefillMs
+	expectedMs := float64(p.ExpectedLatency.Microseconds()) / 1000 * work / p.WorkTime * relearned
 	// ExpectedLatency includes the previous slowdown, hence the product.
 	m.slowdown = min(max(movingAverage(m.slowdown, m.slowdown*elapsedMs/max(expectedMs, 1)), 0.5), maxSlowdown)
-	f.prefillTimes.record(p.model, elapsedMs/work/float64(p.prefillTokens))
 }
 
 func movingAverage(old, sample float64) float64 {
--- a/internal/fleet/worktime_test.go
+++ b/internal/fleet/worktime_test.go
@@ -95,3 +95,19 @@
 	assert.Empty(t, f.CallTimeReports(at(time.Minute)))
 	assert.Empty(t, newFleet("vm", 9).CallTimeReports(begin))
 }
+
+// Guards against a first sample of a model that counts twice, for the model and for the
+// upstream: a stopping VM then refused requests that it could finish.
+func TestFirstSampleOfAModelCountsTwice(t *testing.T) {
+	f := newFleet("vm", 1)
+	q := query()
+	q.ModelEngine, q.Model, q.OwnTokens = true, "m", 600
+	var last *Pick
+	for i := range 4 {
+		now := at(time.Duration(i) * time.Second)
+		last = mustPick(t, f, now, q)
+		f.FirstByte(now.Add(200*ms), last, nil)
+		f.Done(now.Add(200*ms), last, OutcomeSuccess)
+	}
+	assert.InDelta(t, 200, last.ExpectedLatency.Milliseconds(), 10)
+}
