--- a/internal/fleet/pick.go
+++ b/internal/fleet/pick.go
@@ -393,7 +393,7 @@
 		m.calls.record(now, elapsedMs/work)
 		return
 	}
-	f.prefillTimes.record(p.model, elapsedMs/work/float64(p.prefillTokens))
+	f.prefillTimes.record(p.model, elapsedMs/(work*float64(p.prefillTokens)))
 	// The upstream's slowdown is relative to what is known of the model now, so that the first
 	// samples of a model, which make its estimate, do not count a second time.
 	relearned := f.prefillTimes.of(p.model).msPerToken() * float64(p.prefillTokens) / p.prefillMs
