--- a/internal/edge/headersection.go
+++ b/internal/edge/headersection.go
@@ -123,10 +123,11 @@
 }
 
 // next returns the state in which the next section begins, after a body of a known
-// length, or an unknown one if it is negative.
+// length, or an unknown one if it is negative. A body may have been read past the buffer of
+// net/http in one large piece, of which nothing belongs to the next section.
 func (a *readAhead) next(bodyBytes int64) headerSection {
 	if bodyBytes >= 0 && a.bytes <= bodyBytes {
 		return headerSection{}
 	}
-	return headerSection{begun: true, lines: a.lines, commas: a.commas, line: a.line}
+	return headerSection{begun: true, lines: min(a.lines, readBufferBytes), commas: min(a.commas, readBufferBytes), line: a.line}
 }
