--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -276,6 +276,7 @@
 		return 2
 	}
 	defer r.close()
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE) // a closed output must not end the case before its processes
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
