edge, catalog: Metrics and log lines for changes that arrive late

An operator who asks why a VM uses an old configuration sees since when it has known of a newer one (pier_config_lag_seconds, lag= of config: applied), how fetches from other VMs end and how long they take (pier_state_fetch_seconds), and when a call to the store is ended to be repeated. No decision changes.

--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -271,7 +271,8 @@
 		}
 		return
 	}
-	if time.Since(w.callStartedAt) >= minAge {
+	if age := time.Since(w.callStartedAt); age >= minAge {
+		klog.InfoS("catalog: a call is ended and repeated", "kind", w.kind, "list", w.isList, "age", age)
 		w.cancel()
 	}
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -64,6 +64,7 @@
 	readiness readiness
 	// config is the object of the configuration in use.
 	config atomic.Pointer[catalog.Object]
+	lag    configLag
 	// zone is this VM's availability zone.
 	zone string
 	// group watches the store; relay decides whether this VM reads it itself.
@@ -171,7 +172,9 @@
 	f.proxy.forwarder.retainServices(func(name string) bool { return config.Services[name] != nil })
 	f.config.Store(&o)
 	f.readiness.configLoaded()
-	klog.InfoS("config: applied", "version", config.Version, "revision", o.Revision, "routes", config.RouteCount(), "keys", len(config.TeamsByKey))
+	lag := f.lag.apply(time.Now(), config.Version)
+	klog.InfoS("config: applied", "version", config.Version, "revision", o.Revision, "routes", config.RouteCount(), "keys", len(config.TeamsByKey),
+		"bytes", len(o.Spec), "lag", lag)
 }
 
 // configNewerThan returns the object of the configuration in use if its version is
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,7 @@
 	storeCalls     *prometheus.CounterVec
 	storeReasons   *prometheus.CounterVec
 	storeDuration  *prometheus.HistogramVec
+	stateFetches   *prometheus.HistogramVec
 	routes         labelSet
 	versionNames   labelSet // "SERVICE VERSION"
 	// readReason is why this VM currently reads the store or not.
@@ -88,6 +90,9 @@
 		storeReasons: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pier_store_calls_by_reason_total", Help: "Calls to the platform's store by why this VM read it.",
 		}, []string{"reason"}),
+		stateFetches: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "pier_state_fetch_seconds", Help: "Fetches of another VM's copy of the store by outcome.", Buckets: latencyBuckets,
+		}, []string{"outcome"}),
 		storeDuration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "pier_store_call_seconds", Help: "Time of calls to the platform's store by operation.", Buckets: latencyBuckets,
 		}, []string{"operation"}),
@@ -117,7 +122,7 @@
 
 		routes: labelSet{maxValues: maxRouteLabels}, versionNames: labelSet{maxValues: maxVersionLabels},
 	}
-	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.badLoads, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration, m.waits, m.waitTime, m.unbuffered, m.stalled, m.zoneChoices, m.refusedClients)
+	m.Registry.MustRegister(m.requests, m.firstByte, m.duration, m.attempts, m.bodyEnds, m.attemptEnds, m.forwards, m.brittle, m.limited, m.badLoads, m.versions, m.blockedRecords, m.storeCalls, m.storeReasons, m.storeDuration, m.stateFetches, m.waits, m.waitTime, m.unbuffered, m.stalled, m.zoneChoices, m.refusedClients)
 	return m
 }
 
@@ -128,6 +133,7 @@
 		read func() float64
 	}{
 		"pier_config_version":       {"Version of the configuration in force.", func() float64 { return float64(s.configVersion()) }},
+		"pier_config_lag_seconds":   {"Time for which a newer configuration than the one in force has been known.", func() float64 { return f.lag.behindFor(time.Now()).Seconds() }},
 		"pier_upstreams":            {"Upstreams that are listed.", func() float64 { return float64(s.fleet.Len()) }},
 		"pier_known_vms":            {"Entry VMs that share the fleet-wide bounds.", func() float64 { return float64(s.fleet.VMCount()) }},
 		"pier_isolated":             {"1 while no upstream is in reach.", s.isolation.gauge},
@@ -218,6 +224,18 @@
 	}
 }
 
+// observeStateFetch records a fetch of another VM's copy of the store.
+func (m *Metrics) observeStateFetch(err error, took time.Duration) {
+	outcome := "fetched"
+	switch {
+	case errors.Is(err, errPeerBusy):
+		outcome = "busy"
+	case err != nil:
+		outcome = "failed"
+	}
+	m.stateFetches.WithLabelValues(outcome).Observe(took.Seconds())
+}
+
 // ObserveStoreCall records a call to the platform's store.
 func (m *Metrics) ObserveStoreCall(operation, outcome string, took time.Duration) {
 	m.storeCalls.WithLabelValues(operation, outcome).Inc()
--- a/internal/edge/metrics_test.go
+++ b/internal/edge/metrics_test.go
@@ -32,7 +32,7 @@
 	require.NoError(t, err)
 	for _, name := range []string{
 		"pier_requests_total", "pier_first_byte_seconds", "pier_request_seconds", "pier_attempts_total", `pier_response_ends_total{end="regular",framing="length"}`, `pier_attempt_ends_total{cause="complete"}`, "pier_store_calls_total", `pier_store_calls_by_reason_total{reason="few_vms"}`,
-		"pier_config_version 6", "pier_upstreams 6", "pier_isolated 0", "pier_bad_load_reports_total 0", `pier_retry_budget_left{service="orders"}`, `route="other"`,
+		"pier_config_version 6", "pier_upstreams 6", "pier_config_lag_seconds 0", "pier_isolated 0", "pier_bad_load_reports_total 0", `pier_retry_budget_left{service="orders"}`, `route="other"`,
 	} {
 		assert.Contains(t, string(raw), name)
 	}
--- a/internal/edge/peerstate.go
+++ b/internal/edge/peerstate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -95,6 +96,9 @@
 	return out
 }
 
+// errPeerBusy is the error of a fetch from a peer that sends its state to others.
+var errPeerBusy = errors.New("the peer sends its state to as many VMs as it may")
+
 // newStateClient returns the HTTP client for state requests to peers.
 func newStateClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
@@ -129,6 +133,9 @@
 		return out, trace.Wrap(err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		return out, trace.Wrap(errPeerBusy)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return out, trace.Errorf("peer responded with status %d", resp.StatusCode)
 	}
--- a/internal/edge/relaying.go
+++ b/internal/edge/relaying.go
@@ -63,6 +63,7 @@
 	if m.Digest == nil {
 		return
 	}
+	f.lag.announce(now, m.ConfigVersion)
 	local := f.localCopy()
 	f.relay.mu.Lock()
 	behind := f.relay.core.Receive(now, m.Digest, local)
@@ -230,9 +231,11 @@
 // fetchFrom fetches a peer's state and reports whether it contained any full
 // list, object or deletion.
 func (f *Follower) fetchFrom(ctx context.Context, client *http.Client, peer newerPeer) bool {
+	start := time.Now()
 	state, err := f.fetchState(ctx, client, peer)
+	f.proxy.metrics.observeStateFetch(err, time.Since(start))
 	if err != nil {
-		klog.InfoS("peers: state not fetched", "from", peer.address, "err", logs.Err(err))
+		klog.InfoS("peers: state not fetched", "from", peer.address, "took", time.Since(start), "err", logs.Err(err))
 		return false
 	}
 	return f.applyState(peer.address, state)
