--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -65,6 +65,8 @@
 	// config is the object of the configuration in use.
 	config atomic.Pointer[catalog.Object]
 	lag    configLag
+	// dialPeer opens the connections to other VMs for their state; nil for TCP.
+	dialPeer DialFunc
 	// zone is this VM's availability zone.
 	zone string
 	// group watches the store; relay decides whether this VM reads it itself.
--- a/internal/edge/peerstate.go
+++ b/internal/edge/peerstate.go
@@ -99,10 +99,14 @@
 // errPeerBusy is the error of a fetch from a peer that sends its state to others.
 var errPeerBusy = errors.New("the peer sends its state to as many VMs as it may")
 
-// newStateClient returns the HTTP client for state requests to peers.
-func newStateClient() *http.Client {
+// newStateClient returns the HTTP client for state requests to peers; nil for TCP with
+// this package's timeouts.
+func newStateClient(dial DialFunc) *http.Client {
+	if dial == nil {
+		dial = newControlDialer(peerTimeout).DialContext
+	}
 	return &http.Client{Transport: &http.Transport{
-		DisableKeepAlives: true, DialContext: newControlDialer(peerTimeout).DialContext, MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		DisableKeepAlives: true, DialContext: dial, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
--- a/internal/edge/peerstate_test.go
+++ b/internal/edge/peerstate_test.go
@@ -34,7 +34,7 @@
 			proxy := &Proxy{fleet: fleet.New(fleet.Config{})}
 			f := NewFollower(proxy, Options{Settings: &vm.Settings{}}, time.Now())
 			begin := time.Now()
-			_, err := f.fetchState(context.Background(), newStateClient(), newerPeer{address: strings.TrimPrefix(server.URL, "http://"), digest: &relay.Digest{}})
+			_, err := f.fetchState(context.Background(), newStateClient(nil), newerPeer{address: strings.TrimPrefix(server.URL, "http://"), digest: &relay.Digest{}})
 			assert.Error(t, err)
 			assert.Less(t, time.Since(begin), fullListTimeout+time.Second)
 		})
--- a/internal/edge/relaying.go
+++ b/internal/edge/relaying.go
@@ -193,7 +193,7 @@
 // changes soon announces them, and if there is none, the last confirmation
 // becomes too old and this VM reads the store itself.
 func (f *Follower) fetchFromPeers(ctx context.Context) {
-	client := newStateClient()
+	client := newStateClient(f.dialPeer)
 	for {
 		var peer newerPeer
 		select {
