catalog, platform: Responses of the store are not given up while they arrive

Callers saw 404 for new routes, or the old service, for seconds after a large configuration was acknowledged.

Cause: a call to the store had a limit on its whole time (1.5 s for a list, 0.7 s more than its wait for a watch), and a watch was ended and repeated, 1 s after a VM began to read among other times, whether its response was arriving or not. 570 KB take 0.5 s on a link of 10 Mbit/s alone and several times that beside other transfers; the VM threw away what it had and began again.

A transfer is now limited by what arrives: until its first part, between two parts, and in all by what a slow link needs (package transfer). One that arrives is not repeated.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -42,7 +42,8 @@
 }
 
 // Source reads and writes the store. Its errors carry a code of package result:
-// PlatformUnusable if the store responded, and the response cannot be used.
+// PlatformUnusable if the store responded, and the response cannot be used. List and Watch
+// record the parts of a response that arrive; see package transfer.
 type Source interface {
 	// List returns all objects of a kind and the revision from which a watch returns all
 	// changes that the list may lack.
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -10,15 +10,22 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cranberrypier/cranberrypier/internal/result"
+	"github.com/cranberrypier/cranberrypier/internal/transfer"
 )
 
 // Timeouts and delays of a watcher.
 const (
-	// listTimeout limits one list call. The store usually responds within
-	// milliseconds, and within a few hundred milliseconds when it is slow.
+	// listTimeout limits the time until a list begins to arrive. The store usually
+	// responds within milliseconds, and within a few hundred milliseconds when it is slow.
 	listTimeout = 1500 * time.Millisecond
-	// watchTimeoutMargin is how much longer than its wait a watch call may take.
+	// watchTimeoutMargin is how much longer than its wait a watch call may take until its
+	// response begins to arrive.
 	watchTimeoutMargin = 700 * time.Millisecond
+	// maxArrivalSilence and maxArrivalTime limit the time between two parts of a response,
+	// and from the first to the last. The latter allows several large objects on a link
+	// that other transfers use as well.
+	maxArrivalSilence = time.Second
+	maxArrivalTime    = 6 * time.Second
 	// minBackoff is the initial value of the exponential backoff after a failed call;
 	// failed calls are billed, too. The delay is a random time between half of the
 	// backoff and all of it. maxListBackoff limits the backoff while the kind must be
@@ -43,6 +50,9 @@
 	maxIdleSleep = time.Minute
 )
 
+// errRepeated is the cause of the end of a call that is repeated.
+var errRepeated = errors.New("the call is repeated")
+
 // Pace limits the rate of a watcher's calls, each of which is billed.
 type Pace struct {
 	// MaxWait is the longest time for which one watch call waits for a change.
@@ -86,7 +96,7 @@
 	relist bool
 	// shortNextWait is true when the next watch call waits at most maxProbeWait.
 	shortNextWait bool
-	cancel        context.CancelFunc // ends the call in progress; nil when there is none
+	current       *transfer.Transfer // the call in progress; nil when there is none
 	isList        bool               // the call in progress is a list
 	callStartedAt time.Time
 
@@ -145,13 +155,10 @@
 }
 
 func (w *Watcher) list(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	w.setCall(cancel, true)
+	callCtx, end := w.begin(ctx, listTimeout, true)
 	list, revision, err := w.source.List(callCtx, w.kind)
-	w.setCall(nil, false)
-	if errors.Is(callCtx.Err(), context.Canceled) {
-		return nil // restarted, or the process is stopping
+	if end() {
+		return nil
 	}
 	if err != nil {
 		return err
@@ -164,14 +171,11 @@
 
 func (w *Watcher) watch(ctx context.Context) error {
 	wait := w.nextWait()
-	callCtx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
-	defer cancel()
+	callCtx, end := w.begin(ctx, wait+watchTimeoutMargin, false)
 	after := w.group.cache.CompleteRevision(w.kind)
-	w.setCall(cancel, false)
 	changes, revision, err := w.source.Watch(callCtx, w.kind, after, wait)
-	w.setCall(nil, false)
-	if errors.Is(callCtx.Err(), context.Canceled) {
-		return nil // restarted, or the process is stopping
+	if end() {
+		return nil
 	}
 	if result.Is(err, result.PlatformGone) {
 		klog.InfoS("catalog: the store no longer has the history after this revision; listing the kind again", "kind", w.kind, "after", after)
@@ -243,12 +247,20 @@
 	w.relist = relist
 }
 
-func (w *Watcher) setCall(cancel context.CancelFunc, isList bool) {
+// begin begins a call whose response begins to arrive within a timeout. The function end
+// ends it and reports whether it is to be repeated or the process is stopping.
+func (w *Watcher) begin(ctx context.Context, timeout time.Duration, isList bool) (callCtx context.Context, end func() (ended bool)) {
+	callCtx, call := transfer.Start(ctx, transfer.Limits{First: timeout, Silence: maxArrivalSilence, Total: maxArrivalTime})
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.cancel, w.isList = cancel, isList
-	if cancel != nil {
-		w.callStartedAt = time.Now()
+	w.current, w.isList, w.callStartedAt = call, isList, time.Now()
+	return callCtx, func() bool {
+		cause := context.Cause(callCtx)
+		call.End(nil)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.current = nil
+		return ctx.Err() != nil || errors.Is(cause, errRepeated)
 	}
 }
 
@@ -260,20 +272,20 @@
 
 // restart cancels the call or ends the sleep in progress, so that the next call
 // returns changes that were missed. It does not cancel a call that began less
-// than minAge ago.
+// than minAge ago, or whose response is arriving.
 func (w *Watcher) restart(minAge time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.cancel == nil {
+	if w.current == nil {
 		select {
 		case w.wake <- struct{}{}:
 		default: // a wake-up is already pending
 		}
 		return
 	}
-	if age := time.Since(w.callStartedAt); age >= minAge {
+	if age := time.Since(w.callStartedAt); age >= minAge && !w.current.Arriving() {
 		klog.InfoS("catalog: a call is ended and repeated", "kind", w.kind, "list", w.isList, "age", age)
-		w.cancel()
+		w.current.End(errRepeated)
 	}
 }
 
@@ -281,7 +293,7 @@
 // cancel a list in progress.
 func (w *Watcher) restartUnlessListing() {
 	w.mu.Lock()
-	listing := w.cancel != nil && w.isList
+	listing := w.current != nil && w.isList
 	w.mu.Unlock()
 	if !listing {
 		w.restart(0)
--- a/internal/edge/largeconfig_test.go
+++ b/internal/edge/largeconfig_test.go
@@ -22,6 +22,7 @@
 	"github.com/cranberrypier/cranberrypier/internal/gossip"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/cranberrypier/cranberrypier/internal/routing"
+	"github.com/cranberrypier/cranberrypier/internal/transfer"
 	"github.com/cranberrypier/cranberrypier/internal/vm"
 )
 
@@ -153,6 +154,7 @@
 		if err := s.down.carry(ctx, min(bytes, linkChunk)); err != nil {
 			return result.New(result.PlatformUnavailable, "%v", err)
 		}
+		transfer.Arrived(ctx)
 	}
 	return nil
 }
