relay, edge: A VM reads a late configuration from the store

Callers would see an old configuration at VMs whose peers send a large one at a trickle (slow VMs, full links), although the store would answer.

Cause: a VM that knows of a newer configuration asked its peers only, and read the store when its copy had not been confirmed for half of the time limit or more; what remained was too little for a large object.

From a fifth of the limit on, by rank, a VM that knows of a newer configuration than it uses lists it from the store itself. It lists, since a watch brings each version in between as well. No call is added while peers deliver within 0.6 s.

--- a/internal/catalog/group.go
+++ b/internal/catalog/group.go
@@ -290,6 +290,18 @@
 	}
 }
 
+// Relist lets the watcher of a kind list it at its next call. A list has each object once,
+// a watch each of its versions since the copy.
+func (g *Group) Relist(kind Kind) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, w := range g.watchers {
+		if w.kind == kind {
+			w.setRelist(true)
+		}
+	}
+}
+
 // relistBehind is called when the store no longer has the history after a
 // revision. Watchers whose kind is not complete beyond that revision may have
 // missed changes and list their kind again.
--- a/internal/edge/largeconfig_test.go
+++ b/internal/edge/largeconfig_test.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// slowDown reduces the rate to a part of it.
+func (l *link) slowDown(part float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bytesPerSecond *= part
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -356,11 +363,15 @@
 		vms, routes int
 		// next is when a further version follows; zero for never.
 		next time.Duration
+		// slowest is the part of the rate at which every other VM sends; zero for all of it.
+		slowest float64
 	}{
-		"2,800 routes, and a small change 2.3 s later": {31, 700, 2300 * time.Millisecond},
-		"4,200 routes, and a small change 3.4 s later": {31, 1050, 3400 * time.Millisecond},
-		"4,700 routes, as large as may be":             {31, 1175, 0},
-		"4,700 routes, many VMs":                       {74, 1175, 0},
+		"2,800 routes, and a small change 2.3 s later": {31, 700, 2300 * time.Millisecond, 0},
+		"4,200 routes, and a small change 3.4 s later": {31, 1050, 3400 * time.Millisecond, 0},
+		"4,700 routes, as large as may be":             {31, 1175, 0, 0},
+		"4,700 routes, many VMs":                       {74, 1175, 0, 0},
+		"4,700 routes, every other VM sends a trickle": {31, 1175, 0, 0.02},
+		"4,700 routes, every other VM sends nothing":   {31, 1175, 0, 1e-3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -381,6 +392,11 @@
 					time.Sleep(3 * time.Second) // MaxConfigApplyTime
 					assert.Empty(t, l.late(version))
 				}
+				for i, v := range l.vms {
+					if c.slowest > 0 && i%2 == 0 {
+						v.up.slowDown(c.slowest)
+					}
+				}
 				l.store.put(catalog.Configurations, "main", configOf(2, c.routes))
 				wait.Go(func() { inForce(2) })
 				if c.next > 0 {
@@ -394,6 +410,7 @@
 					v.follower.proxy.beginLastAnswers()
 				}
 				wait.Wait()
+				time.Sleep(24 * time.Hour) // what is on a slow link ends
 			})
 		})
 	}
--- a/internal/edge/relaying.go
+++ b/internal/edge/relaying.go
@@ -117,7 +117,8 @@
 	if f.group.TriesInVain() {
 		f.relay.core.Trouble(now)
 	}
-	d := f.relay.core.Decide(now, relay.View{Zone: liveInZone, Zones: zones, Loaded: f.Ready()})
+	d := f.relay.core.Decide(now, relay.View{Zone: liveInZone, Zones: zones, Loaded: f.Ready(), Late: f.lag.behindFor(now)})
+	becomesLate := d.Reason == relay.Late && !f.relay.decision.Watches
 	changed := d.Watches != f.relay.decision.Watches || f.relay.decision.Reason == ""
 	f.relay.decision = d
 	f.relay.mu.Unlock()
@@ -125,6 +126,9 @@
 	if changed {
 		klog.InfoS("relay: decided whether this VM reads the store", "reads", d.Watches, "because", d.Reason, "rank", d.Rank, "zoneVMs", len(liveInZone), "proofAge", d.Staleness.Milliseconds())
 	}
+	if becomesLate {
+		f.group.Relist(catalog.Configurations)
+	}
 	f.group.SetMode(watchMode(d))
 	f.group.SetProberWait(d.ConfirmInterval)
 	others := len(liveInZone) - 1 + zones - 1 // at least one VM in each other zone
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,6 +44,12 @@
 	// confirmIntervalShare is the share of the first group's limit within which each
 	// reader asks the store again, so that one of them alone keeps the others fresh.
 	confirmIntervalShare = 0.75
+	// minLatenessShare and maxLatenessShare are the shares of Config.PropagationLimit for
+	// which the first and the last group of standbys know of a newer configuration that no
+	// peer delivers, before they read the store. A configuration may be large, so most of
+	// the limit is left for it to arrive.
+	minLatenessShare = 0.2
+	maxLatenessShare = 0.3
 	// troubledStalenessShare and troubledSharePerRank replace them for all but the
 	// first group while other VMs of the zone try to read without success.
 	troubledStalenessShare = 1.2
@@ -128,6 +134,9 @@
 	Zones int
 	// Loaded is true once this VM can serve callers from its copy.
 	Loaded bool
+	// Late is how long this VM has known of a newer configuration than the one that it
+	// uses; zero if it knows of none.
+	Late time.Duration
 }
 
 // Reason explains why a VM reads the store or does not.
@@ -139,6 +148,7 @@
 	AsksPeers     Reason = "asks_peers"
 	FewVMs        Reason = "few_vms"
 	Reader        Reason = "reader"
+	Late          Reason = "late"
 	Stale         Reason = "no_proof"
 	RecentlyStale Reason = "no_proof_lately"
 	Relayed       Reason = "others_read"
@@ -256,6 +266,9 @@
 		d.Reason = FewVMs
 	case d.Rank < readers:
 		d.Reason = Reader
+	case v.Late > c.maxLateness(d.Rank-readers):
+		c.readUntil = now.Add(directReadWindow)
+		d.Reason = Late
 	case d.Staleness > c.maxStaleness(now, d.Rank-readers):
 		c.readUntil = now.Add(directReadWindow)
 		d.Reason = Stale
@@ -300,7 +313,7 @@
 // maxStaleness returns the staleness above which this VM reads the store itself.
 // standby is its position among the VMs of the zone that are not readers.
 func (c *Core) maxStaleness(now time.Time, standby int) time.Duration {
-	group := min(bits.Len(uint(standby/firstStandbys+1))-1, standbyGroups)
+	group := standbyGroup(standby)
 	share := minStalenessShare + (maxStalenessShare-minStalenessShare)*float64(group)/standbyGroups
 	if _, troubled := c.TroubleAge(now); troubled && group > 0 {
 		share = troubledStalenessShare + troubledSharePerRank*float64(standby)
@@ -308,6 +321,16 @@
 	return time.Duration(share * float64(c.cfg.PropagationLimit))
 }
 
+// maxLateness returns for how long this VM waits for peers to deliver a newer configuration
+// before it reads the store itself.
+func (c *Core) maxLateness(standby int) time.Duration {
+	share := minLatenessShare + (maxLatenessShare-minLatenessShare)*float64(standbyGroup(standby))/standbyGroups
+	return time.Duration(share * float64(c.cfg.PropagationLimit))
+}
+
+// standbyGroup returns the group of a VM by its position among those that are not readers.
+func standbyGroup(standby int) int { return min(bits.Len(uint(standby/firstStandbys+1))-1, standbyGroups) }
+
 // jitter returns a number in [0, 1) that is constant for this VM.
 func (c *Core) jitter() float64 { return float64(xxhash.Sum64String(c.cfg.VM)%1024) / 1024 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -52,9 +52,13 @@
 		"all VMs read above the largest limit":       {10, 2251 * time.Millisecond, nil, later, func(d Decision) bool { return d.Lists && d.Watches }},
 		"only readers read below the smallest limit": {10, 1499 * time.Millisecond, nil, later, onlyReadersWatch},
 		"a few standbys read above the smallest":     {40, 1501 * time.Millisecond, nil, later, func(d Decision) bool { return d.Watches == (d.Rank < readersPerZone(1)+firstStandbys) }},
-		"one reader for each of many zones":          {10, time.Second, func(_ *Config, v *View) { v.Zones = 7 }, later, func(d Decision) bool { return d.Watches == (d.Rank == 0) }},
-		"no one lists again what peers have sent":    {10, time.Second, nil, later, func(d Decision) bool { return d.Lists == d.Watches }},
-		"a VM that lacks a kind lists it at last":    {10, time.Second, notLoaded, later, func(d Decision) bool { return d.Lists }},
+		"a few standbys read for a late configuration": {40, time.Second, late(601 * time.Millisecond), later, func(d Decision) bool {
+			return d.Watches == (d.Rank < readersPerZone(1)+firstStandbys) && (d.Rank < readersPerZone(1) || !d.Watches || d.Reason == Late)
+		}},
+		"all VMs read if it is later":             {40, time.Second, late(901 * time.Millisecond), later, func(d Decision) bool { return d.Watches }},
+		"one reader for each of many zones":       {10, time.Second, func(_ *Config, v *View) { v.Zones = 7 }, later, func(d Decision) bool { return d.Watches == (d.Rank == 0) }},
+		"no one lists again what peers have sent": {10, time.Second, nil, later, func(d Decision) bool { return d.Lists == d.Watches }},
+		"a VM that lacks a kind lists it at last": {10, time.Second, notLoaded, later, func(d Decision) bool { return d.Lists }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for i := range c.zone {
@@ -72,6 +76,11 @@
 	}
 }
 
+// late returns a change by which a VM has known of a newer configuration for so long.
+func late(d time.Duration) func(*Config, *View) {
+	return func(_ *Config, v *View) { v.Late = d }
+}
+
 func notLoaded(_ *Config, v *View) { v.Loaded = false }
 
 func viewOf(zone []string, zones int) View { return View{Zone: zone, Zones: zones, Loaded: true} }
