edge: An older configuration does not replace a newer one that arrives at the same time

Callers of one VM would see a configuration come back older, until the next change.

Cause: the version in use was compared and replaced in two steps. What the store and other VMs' updates deliver is serialized; the configuration that a VM sends because its own store copy is older is not.

--- a/internal/edge/configlag_test.go
+++ b/internal/edge/configlag_test.go
@@ -1,10 +1,15 @@
 package edge
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/cranberrypier/cranberrypier/internal/catalog"
+	"github.com/cranberrypier/cranberrypier/internal/vm"
 )
 
 func TestConfigLagCountsFromTheFirstNewerVersion(t *testing.T) {
@@ -23,3 +28,21 @@
 	l.apply(at(8), 8)
 	assert.Zero(t, l.behindFor(at(9)))
 }
+
+// Guards against an older configuration that replaces a newer one because both arrive at the
+// same time, from the store and from another VM.
+func TestOlderConfigurationDoesNotReplaceANewerOne(t *testing.T) {
+	for round := range 2000 {
+		f := New(Options{Settings: &vm.Settings{Name: "vm-1"}, Documents: versionDocuments{}, Metrics: NewMetrics()}).follower
+		var wait sync.WaitGroup
+		for version := range 4 {
+			wait.Go(func() {
+				f.applyConfig(catalog.Object{Name: "main", Revision: uint64(version + 1), Spec: fmt.Appendf(nil, `{"version":%d}`, version+1)})
+			})
+		}
+		wait.Wait()
+		if !assert.Equal(t, uint64(4), f.proxy.configVersion(), "round %d", round) {
+			return
+		}
+	}
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,7 +65,10 @@
 	readiness readiness
 	// config is the object of the configuration in use.
 	config atomic.Pointer[catalog.Object]
-	lag    configLag
+	// configMu serializes changes of the configuration in use: the store and another VM
+	// may deliver one at the same time.
+	configMu sync.Mutex
+	lag      configLag
 	// dialPeer opens the connections to other VMs for their state; nil for TCP.
 	dialPeer DialFunc
 	// zone is this VM's availability zone.
@@ -161,6 +165,8 @@
 		klog.ErrorS(err, "config: ignored, because it cannot be decoded", "revision", o.Revision)
 		return
 	}
+	f.configMu.Lock()
+	defer f.configMu.Unlock()
 	if current := f.proxy.configVersion(); config.Version <= current {
 		klog.InfoS("config: ignored, because its version is not newer", "version", config.Version, "inForce", current)
 		return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -329,7 +329,9 @@
 }
 
 // standbyGroup returns the group of a VM by its position among those that are not readers.
-func standbyGroup(standby int) int { return min(bits.Len(uint(standby/firstStandbys+1))-1, standbyGroups) }
+func standbyGroup(standby int) int {
+	return min(bits.Len(uint(standby/firstStandbys+1))-1, standbyGroups)
+}
 
 // jitter returns a number in [0, 1) that is constant for this VM.
 func (c *Core) jitter() float64 { return float64(xxhash.Sum64String(c.cfg.VM)%1024) / 1024 }
