edge: A peer that stops to send does not hold up fetches for two seconds

A VM whose peer stalls in the middle of its state waited 2 s, in which it asked no other VM and got no configuration. A state that arrives on a slow link between zones was given up after 0.6 s in all, however large.

Fetches are limited by what arrives, as calls to the store are: 0.6 s without any part (1 s before a full list begins), 2 s in all.

--- a/internal/edge/peerstate.go
+++ b/internal/edge/peerstate.go
@@ -18,6 +18,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/catalog"
 	"github.com/cranberrypier/cranberrypier/internal/logs"
+	"github.com/cranberrypier/cranberrypier/internal/transfer"
 )
 
 const (
@@ -34,12 +35,13 @@
 	// maxStateBytes limits the size of a peer's response. The largest contents
 	// are a configuration of up to 1 MB and a few hundred upstreams.
 	maxStateBytes = 8 << 20
-	// peerTimeout limits one request to a peer. It leaves the requesting VM
-	// enough time to read the store itself within relay.Config.PropagationLimit.
-	// A request for full lists may take longer (fullListTimeout), since it is
-	// sent only while the store does not respond to the requesting VM.
-	peerTimeout     = 600 * time.Millisecond
-	fullListTimeout = 2 * time.Second
+	// peerTimeout limits connecting to a peer and the silence before its response and
+	// within it. firstListTimeout replaces it until a response begins that may hold full
+	// lists. maxFetchTime limits the time that a response takes to arrive; it leaves the
+	// requesting VM enough time to read the store itself.
+	peerTimeout      = 600 * time.Millisecond
+	firstListTimeout = time.Second
+	maxFetchTime     = 2 * time.Second
 	// maxConcurrentStates limits the responses to peers that are encoded and sent at the
 	// same time, each of which may take a megabyte of memory and much of the link. Further
 	// peers are refused at once, so that they ask those that have been served.
@@ -124,13 +126,13 @@
 	for _, kind := range catalog.Kinds {
 		known.Set(string(kind), strconv.FormatUint(cache.CompleteRevision(kind), 10))
 	}
-	timeout := peerTimeout
+	limits := transfer.Limits{First: peerTimeout, Silence: peerTimeout, Total: maxFetchTime}
 	if peer.sameZone || f.group.StoreUnavailable() || !f.Ready() || peer.digest.Era > cache.Era() || !cache.IsOneEra() {
 		known.Set(fullListParam, "")
-		timeout = fullListTimeout
+		limits.First = firstListTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, fetch := transfer.Start(ctx, limits)
+	defer fetch.End(nil)
 	var out peerState
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.address+statePath+"?"+known.Encode(), nil)
 	if err != nil {
@@ -147,7 +149,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return out, trace.Errorf("peer responded with status %d", resp.StatusCode)
 	}
-	return out, trace.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(&out))
+	return out, trace.Wrap(json.NewDecoder(io.LimitReader(transfer.Reader(ctx, resp.Body), maxStateBytes)).Decode(&out))
 }
 
 // applyState applies the state received from a peer and reports whether it
