edge: Parts of stream events share the room for responses

Callers of a small VM would lose all their requests when upstreams send events without end on many streams at the same time: the process runs over its memory.

Cause: a part of an event is held until it is complete, up to 256 KB each and outside any limit for all streams together.

A part of an event beyond 16 KB takes room from what the VM has for responses, an eighth of its memory; without room the attempt ends as one with an event that is too long does.

--- a/internal/edge/sse.go
+++ b/internal/edge/sse.go
@@ -10,12 +10,17 @@
 	// maxEventBytes limits the size of one event of a stream, and the bytes between
 	// two events that carry data: comments and empty events are no progress.
 	maxEventBytes = 256 << 10
+	// freeEventBytes is the size up to which a part of an event needs no room: it belongs
+	// to what a connection takes. eventStep is the least by which the room grows.
+	freeEventBytes = 16 << 10
+	eventStep      = 16 << 10
 	// readSize is the size of one read from an upstream, in bytes.
 	readSize = 4 << 10
 )
 
 var (
 	errEventTooLong = errors.New("stream event is too long")
+	errNoEventRoom  = errors.New("no room for the stream event")
 	errNoProgress   = errors.New("too many bytes without an event that carries data")
 
 	errEndInsideEvent = errors.New("the stream ended inside an event")
@@ -34,9 +39,37 @@
 	chunk [readSize]byte
 	// idleBytes is the number of bytes since the last event with data.
 	idleBytes int
+	// grow changes the room for the part of an event that has arrived, in bytes, and
+	// reports whether there is any; reserved is what it has.
+	grow     func(by int) bool
+	reserved int
 }
 
-func newEventReader(src io.Reader) *eventReader { return &eventReader{src: src} }
+func newEventReader(src io.Reader, grow func(by int) bool) *eventReader {
+	return &eventReader{src: src, grow: grow}
+}
+
+// reserve makes room for a part of an event of a size.
+func (r *eventReader) reserve(size int) bool {
+	if size <= max(freeEventBytes, r.reserved) {
+		return true
+	}
+	to := max(size, r.reserved+eventStep)
+	if !r.grow(to - r.reserved) {
+		return false
+	}
+	r.reserved = to
+	r.buf = append(make([]byte, 0, to), r.buf...)
+	return true
+}
+
+// release gives back the room of an event that is complete or given up.
+func (r *eventReader) release() {
+	if r.reserved > 0 {
+		r.grow(-r.reserved)
+		r.reserved, r.buf = 0, bytes.Clone(r.buf)
+	}
+}
 
 // streamEvents are complete events that have arrived together.
 type streamEvents struct {
@@ -58,6 +91,9 @@
 		if end := lastEventEnd(r.buf); end > 0 {
 			e := newStreamEvents(bytes.Clone(r.buf[:end]))
 			r.buf = append(r.buf[:0], r.buf[end:]...)
+			if len(r.buf) <= freeEventBytes {
+				r.release()
+			}
 			return e, r.checkProgress(e)
 		}
 		if r.err != nil {
@@ -68,6 +104,9 @@
 		}
 		var n int
 		n, r.err = r.src.Read(r.chunk[:])
+		if !r.reserve(len(r.buf) + n) {
+			return streamEvents{}, errNoEventRoom
+		}
 		r.buf = append(r.buf, r.chunk[:n]...)
 	}
 }
--- a/internal/edge/sse_test.go
+++ b/internal/edge/sse_test.go
@@ -12,7 +12,7 @@
 )
 
 func readAll(src io.Reader) (complete, rest, last string, err error) {
-	r := newEventReader(src)
+	r := newEventReader(src, func(int) bool { return true })
 	for {
 		events, e := r.next()
 		if e != nil {
@@ -80,3 +80,35 @@
 		}
 	})
 }
+
+// Guards against events without end on many streams that together take more memory than
+// the VM has for responses.
+func TestEventsShareTheRoomForResponses(t *testing.T) {
+	const limit = 100 << 10
+	used := 0
+	grow := func(by int) bool {
+		if by > 0 && used+by > limit {
+			return false
+		}
+		used += by
+		return true
+	}
+	endless := func() *eventReader {
+		return newEventReader(strings.NewReader("data: "+strings.Repeat("x", 90<<10)), grow)
+	}
+	first, second := endless(), endless()
+	_, err := first.next()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.GreaterOrEqual(t, used, 90<<10)
+	_, err = second.next()
+	assert.ErrorIs(t, err, errNoEventRoom)
+	assert.LessOrEqual(t, cap(second.buf), freeEventBytes+eventStep)
+	second.release()
+	first.release()
+	assert.Zero(t, used)
+	whole := newEventReader(strings.NewReader("data: "+strings.Repeat("x", 90<<10)+"\n\n"), grow)
+	events, err := whole.next()
+	assert.NoError(t, err)
+	assert.Equal(t, 1, events.count)
+	assert.Zero(t, used, "the room of a complete event is free again")
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -163,7 +163,8 @@
 		stall = a.startPatience(stallTimeout, errStreamStalled)
 		defer stall.stop()
 	}
-	reader := newEventReader(a.body)
+	reader := newEventReader(a.body, func(by int) bool { return st.holdResponse(st.responseBytes + int64(by)) })
+	defer reader.release()
 	for {
 		events, err := reader.next()
 		if events.count > 0 {
@@ -172,7 +173,7 @@
 		if errors.Is(err, io.EOF) {
 			return st.endStream(a, events.bytes)
 		}
-		if errors.Is(err, errEventTooLong) || errors.Is(err, errNoProgress) {
+		if errors.Is(err, errEventTooLong) || errors.Is(err, errNoEventRoom) || errors.Is(err, errNoProgress) {
 			a.err = err // this VM ends the attempt
 			return streamBroken
 		}
