edge: Heads of responses have a limited number of lines

Callers of a small VM would lose all their requests when upstreams, or a VM to which requests are forwarded, send heads of very many short lines: the process runs over its memory.

Cause: heads were limited to 64 KB, but a parsed line takes many times its size.

Connections that carry one response (upstreams, other VMs) count the lines of its heads, interim ones included, and end beyond 512. Heads of up to 64 KB with fewer lines are taken as before.

New tests with real processes, for each way on which bytes of others come in: TestEndlessBytesOfUpstreams (heads, interim responses, bodies, chunks, trailers and events of plain responses and streams), OfTheStore and OfAnotherVM (forwarded requests and its copy of the store). Upstreams are asked for nothing but requests: probes only connect.

--- a/internal/edge/hostile/process_test.go
+++ b/internal/edge/hostile/process_test.go
@@ -51,10 +51,21 @@
 platform: {address: %q, historyS: 20, maxValueBytes: 1048576}
 `
 
+// requestCount makes each request different from all others.
+var requestCount atomic.Int64
+
 // vmProcess is a running pier-edge and the addresses of its listeners.
 type vmProcess struct {
 	callers, peers, readiness, metrics string
 
+	// storeFault is what the store responds with; nil for its usual responses.
+	storeFault atomic.Pointer[platformside.EndlessFault]
+	// replica and streams are the upstreams of the routes /bad/ and /bad-stream/.
+	replica, streams *platformside.Replica
+
+	// files is the limit of descriptors.
+	files int
+
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	peakOpen atomic.Int64
@@ -72,21 +83,28 @@
 // startVM starts pier-edge and waits until it is ready.
 func startVM(t *testing.T, program string) *vmProcess {
 	t.Helper()
+	return startVMWithFiles(t, program, maxOpenFiles)
+}
+
+// startVMWithFiles starts pier-edge with a limit of descriptors.
+func startVMWithFiles(t *testing.T, program string, files int) *vmProcess {
+	t.Helper()
+	v := &vmProcess{files: files, exited: make(chan struct{}), replica: platformside.NewReplica("p1"), streams: platformside.NewReplica("p1-stream")}
 	store := platformside.NewStore()
-	storeServer := httptest.NewServer(store.Handler())
+	storeServer := httptest.NewServer(v.faultyStore(store.Handler()))
 	replica := platformside.NewReplica("p0")
 	replica.ProcessingTime = upstreamDelay
-	upstream := httptest.NewServer(replica)
-	publish(store, strings.TrimPrefix(upstream.URL, "http://"))
+	upstream, faulty, faultyStream := httptest.NewServer(replica), httptest.NewServer(v.replica), httptest.NewServer(v.streams)
+	publish(store, strings.TrimPrefix(upstream.URL, "http://"), strings.TrimPrefix(faulty.URL, "http://"), strings.TrimPrefix(faultyStream.URL, "http://"))
 
 	address := func() string {
 		a, err := ports.FreeAddress()
 		require.NoError(t, err)
 		return a
 	}
-	v := &vmProcess{callers: address(), peers: address(), readiness: address(), metrics: address(), exited: make(chan struct{})}
+	v.callers, v.peers, v.readiness, v.metrics = address(), address(), address(), address()
 	settings := filepath.Join(t.TempDir(), "vm.yaml")
-	text := fmt.Sprintf(settingsTemplate, v.callers, v.readiness, v.peers, v.peers, memoryMB, maxOpenFiles, strings.TrimPrefix(storeServer.URL, "http://"))
+	text := fmt.Sprintf(settingsTemplate, v.callers, v.readiness, v.peers, v.peers, memoryMB, files, strings.TrimPrefix(storeServer.URL, "http://"))
 	require.NoError(t, os.WriteFile(settings, []byte(text), 0o600))
 	logFile, err := os.Create(filepath.Join(t.TempDir(), "vm.log"))
 	require.NoError(t, err)
@@ -107,25 +125,52 @@
 		_ = logFile.Close()
 		storeServer.CloseClientConnections()
 		upstream.CloseClientConnections()
+		faulty.CloseClientConnections()
+		faultyStream.CloseClientConnections()
 	})
 	require.Eventually(t, func() bool { return getStatus("http://"+v.readiness+"/cranberrypier/readyz") == http.StatusOK }, startTimeout, 50*time.Millisecond)
 	return v
 }
 
-func publish(store *platformside.Store, upstream string) {
+// faultyStore is a store that responds as storeFault says.
+func (v *vmProcess) faultyStore(store http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if fault := v.storeFault.Load(); fault != nil {
+			platformside.ServeEndless(w, *fault)
+			return
+		}
+		store.ServeHTTP(w, r)
+	})
+}
+
+func publish(store *platformside.Store, upstream, faulty, faultyStream string) {
+	badRoute := func(name, routeType string) map[string]any {
+		return map[string]any{"name": name, "host": host, "pathPrefix": "/" + name + "/", "routeType": routeType, "timeoutMs": 5000, "targetLatencyMs": 3000, "targetGapMs": 3000, "service": name, "maxAttempts": 3}
+	}
+	services := []any{map[string]any{"name": "orders"}}
+	for _, name := range []string{"bad", "bad-stream", "cut"} {
+		services = append(services, map[string]any{"name": name})
+	}
 	store.Put("config", "main", map[string]any{
 		"version": 2,
 		"routes": []map[string]any{
 			{"name": "once", "host": host, "pathPrefix": "/once/", "routeType": "unsafe", "timeoutMs": 8000, "targetLatencyMs": 2000, "service": "orders", "maxAttempts": 1},
+			badRoute("bad", "safe"), badRoute("bad-stream", "streaming"), badRoute("cut", "safe"),
 		},
-		"services": []any{map[string]any{"name": "orders"}},
+		"services": services,
 		"limits":   map[string]any{"maxBodyBytes": 1 << 20, "maxHeaderBytes": maxHeaderBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []any{map[string]any{"name": "team-1", "apiKeys": []string{"key"}}},
 	})
-	store.Put("servers", "p0", map[string]any{
-		"service": "orders", "address": upstream, "zone": "a", "version": "v1", "slots": 1000,
-		"state": "ready", "coldRemainingMs": 0, "sequence": 0, "born": 1700000000000,
-	})
+	put := func(id, service, address string) {
+		store.Put("servers", id, map[string]any{
+			"service": service, "address": address, "zone": "a", "version": "v1", "slots": 1000,
+			"state": "ready", "coldRemainingMs": 0, "sequence": 0, "born": 1700000000000,
+		})
+	}
+	put("p0", "orders", upstream)
+	put("p1", "bad", faulty)
+	put("p1-stream", "bad-stream", faultyStream)
+	put("p3", "cut", "127.0.0.1:1") // refuses connections, so that requests go to another VM
 }
 
 func getStatus(url string) int {
@@ -166,22 +211,32 @@
 }
 
 // ordinaryRequest sends one request as an ordinary caller does and returns the status.
-func (v *vmProcess) ordinaryRequest() int {
-	req, err := http.NewRequest(http.MethodPost, "http://"+v.callers+"/once/x", strings.NewReader("body"))
+func (v *vmProcess) ordinaryRequest() int { return v.request("once") }
+
+// request sends one request on a route and returns the status; zero if no complete
+// response arrives.
+func (v *vmProcess) request(route string) int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+v.callers+"/"+route+"/x", strings.NewReader(fmt.Sprint("body ", requestCount.Add(1))))
 	if err != nil {
 		panic(err) // the test's own request is always valid
 	}
 	req.Host = host
-	req.Header.Set("X-Attempt-Id", "ordinary")
+	req.Header.Set("X-Attempt-Id", fmt.Sprint("r", requestCount.Add(1)))
 	req.Header.Set("X-Deadline-Ms", "6000")
 	req.Header.Set("Api-Key", "key")
+	if route == "bad-stream" {
+		req.Header.Set("X-Token-Usage", "100,10")
+		req.Header.Set("X-Prefix-Hash", fmt.Sprintf("%x:100", requestCount.Add(1)))
+	}
 	client := http.Client{Timeout: answerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0
 	}
 	defer func() { _ = resp.Body.Close() }()
-	_, _ = io.Copy(io.Discard, resp.Body) // only the status counts
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
 	return resp.StatusCode
 }
 
@@ -198,5 +253,5 @@
 	peak := v.peakMemoryKB(t)
 	t.Logf("peak memory %d KB, open descriptors %d", peak, v.peakOpen.Load())
 	require.LessOrEqual(t, peak, memoryMB<<10, "peak resident memory, KB")
-	require.LessOrEqual(t, v.peakOpen.Load(), int64(maxOpenFiles), "open descriptors")
+	require.LessOrEqual(t, v.peakOpen.Load(), int64(v.files), "open descriptors")
 }
--- a/internal/edge/peerstate.go
+++ b/internal/edge/peerstate.go
@@ -112,7 +112,7 @@
 		dial = newControlDialer(peerTimeout).DialContext
 	}
 	return &http.Client{Transport: &http.Transport{
-		DisableKeepAlives: true, DialContext: dial, MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		DisableKeepAlives: true, DialContext: limitHeads(dial), MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
--- a/internal/edge/transport.go
+++ b/internal/edge/transport.go
@@ -122,7 +122,7 @@
 // late response to another request, and net/http never resends a request on it.
 func newUpstreamTransport(dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:        dialUnlessConnected(dial),
+		DialContext:        limitHeads(dialUnlessConnected(dial)),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 		WriteBufferSize:    4 << 10,
