--- a/internal/catalog/watcher_test.go
+++ b/internal/catalog/watcher_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/cranberrypier/cranberrypier/internal/result"
+	"github.com/cranberrypier/cranberrypier/internal/transfer"
 )
 
 // fakeStore is a store with a revision per change. Its watches can be stalled and
@@ -27,6 +28,8 @@
 	watchErr      map[Kind]error // of watches that would return changes
 	calls         map[string]int
 	wake          chan struct{}
+	// transferTime is how long a watch response of a kind arrives.
+	transferTime map[Kind]time.Duration
 }
 
 type kindChange struct {
@@ -117,7 +120,7 @@
 		case len(out) > 0 && !stalled && s.watchErr[kind] != nil:
 			return nil, 0, s.watchErr[kind]
 		case len(out) > 0 && !stalled:
-			return out, at, nil
+			return out, at, s.transfer(ctx, kind)
 		}
 		select {
 		case <-ctx.Done():
@@ -133,6 +136,19 @@
 	}
 }
 
+// transfer waits until a response has arrived.
+func (s *fakeStore) transfer(ctx context.Context, kind Kind) error {
+	const part = 50 * time.Millisecond
+	for left := s.transferTime[kind]; left > 0; left -= part {
+		time.Sleep(part)
+		if ctx.Err() != nil {
+			return result.New(result.PlatformUnavailable, "%v", ctx.Err())
+		}
+		transfer.Arrived(ctx)
+	}
+	return nil
+}
+
 func (s *fakeStore) WriteStatus(context.Context, Kind, string, uint64, any) error { return nil }
 
 // recorder records what a watcher passes to its handler.
@@ -201,6 +217,26 @@
 	}
 }
 
+// Guards against a response that is thrown away while it arrives, because the prober has seen
+// that a change is missing.
+func TestCallWhoseResponseArrivesIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(Configurations, "old")
+		_, longWait, stop := startWatchers(t, store)
+		defer stop()
+		time.Sleep(time.Second)
+		begin := time.Now()
+		store.transferTime = map[Kind]time.Duration{Configurations: 1800 * time.Millisecond}
+		store.put(Configurations, "new")
+		store.put(Upstreams, "u")
+		time.Sleep(5 * time.Second)
+		took, ok := longWait.delay("new", begin)
+		assert.True(t, ok)
+		assert.Equal(t, 1800*time.Millisecond, took)
+	})
+}
+
 func TestChangesArriveAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore()
