--- a/internal/edge/configlag_test.go
+++ b/internal/edge/configlag_test.go
@@ -29,6 +29,23 @@
 	assert.Zero(t, l.behindFor(at(9)))
 }
 
+// Guards against VMs that read the store for good because a version was announced that is
+// lost.
+func TestConfigLagForgetsALostVersion(t *testing.T) {
+	var l configLag
+	now := time.Unix(1_000_000, 0)
+	l.apply(now, 11)
+	l.announce(now, 20)
+	now = now.Add(maxAnnouncementAge)
+	assert.Equal(t, maxAnnouncementAge, l.behindFor(now))
+	now = now.Add(time.Second)
+	assert.Zero(t, l.behindFor(now))
+	l.announce(now, 12)
+	assert.Equal(t, time.Second, l.behindFor(now.Add(time.Second)), "a version that exists")
+	l.apply(now, 12)
+	assert.Zero(t, l.behindFor(now.Add(time.Second)))
+}
+
 // Guards against an older configuration that replaces a newer one because both arrive at the
 // same time, from the store and from another VM.
 func TestOlderConfigurationDoesNotReplaceANewerOne(t *testing.T) {
