edge, platform: A path that begins with two slashes reaches upstreams as it is

Cause: the path was set as url.URL.Opaque, which net/http takes for a host and a path if it begins with two slashes.

Such a path is set as Path and RawPath, which keep its escaping; one that cannot be written so is sent with a host before it.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -8,9 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -239,10 +237,9 @@
 // the time that is left.
 func (x *requestState) newForwardRequest(ctx context.Context, address string) (*http.Request, error) {
 	info := forwardInfo{VM: x.proxy.forwarder.self, ConfigVersion: x.proxy.configVersion(), Runs: x.runs, Counted: x.counted}
-	path, query, hasQuery := strings.Cut(x.req.RequestURI, "?")
 	req := (&http.Request{
 		Method: x.req.Method, Host: x.req.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL:    &url.URL{Scheme: "http", Host: address, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""},
+		URL:    exchange.TargetURL(address, x.req.RequestURI),
 		Header: x.proxy.ingress.ForwardHeader(x.callerHeader, time.Until(x.req.Deadline), x.resumeAfter),
 	}).WithContext(ctx)
 	setBody(req, x.req.Body)
