--- a/internal/edge/headlines.go
+++ b/internal/edge/headlines.go
@@ -70,6 +70,9 @@
 	return n, err
 }
 
+// NetConn returns the connection below.
+func (c *headLimitedConn) NetConn() net.Conn { return c.Conn }
+
 // limitHeads returns a function that opens connections whose responses have a limited
 // number of lines in their heads. Each connection may carry one response only.
 func limitHeads(dial DialFunc) DialFunc {
--- a/internal/edge/transport_test.go
+++ b/internal/edge/transport_test.go
@@ -19,6 +19,9 @@
 
 func readLimits(t *testing.T, c net.Conn) socketLimits {
 	t.Helper()
+	if limited, ok := c.(*headLimitedConn); ok {
+		c = limited.NetConn()
+	}
 	raw, err := c.(*net.TCPConn).SyscallConn()
 	require.NoError(t, err)
 	option := func(name int) (value int) {
