edge: An event that does not end is searched once

Cause, in part: each part that arrived had all that came before searched again for the end of the event and for the head of another response, 64 times for 256 KB.

Only what is new is searched. Whether this is all of the cause is not shown.

--- a/internal/edge/sse.go
+++ b/internal/edge/sse.go
@@ -37,6 +37,9 @@
 	buf   []byte
 	err   error
 	chunk [readSize]byte
+	// searched is the length of the part of buf that holds neither the end of an event nor a
+	// head.
+	searched int
 	// idleBytes is the number of bytes since the last event with data.
 	idleBytes int
 	// grow changes the room for the part of an event that has arrived, in bytes, and
@@ -85,12 +88,14 @@
 // returns the bytes after the last complete event, if any, with the error.
 func (r *eventReader) next() (streamEvents, error) {
 	for {
-		if at := indexOfHead(r.buf); at >= 0 {
+		from := max(r.searched-len(lineOfHead), 0) // what is searched for may span two reads
+		if at := r.indexOfHead(from); at >= 0 {
 			r.buf, r.err = r.buf[:at], errHeadInStream
 		}
-		if end := lastEventEnd(r.buf); end > 0 {
+		if end := lastEventEnd(r.buf[min(from, len(r.buf)):]); end > 0 {
+			end += from
 			e := newStreamEvents(bytes.Clone(r.buf[:end]))
-			r.buf = append(r.buf[:0], r.buf[end:]...)
+			r.buf, r.searched = append(r.buf[:0], r.buf[end:]...), 0
 			if len(r.buf) <= freeEventBytes {
 				r.release()
 			}
@@ -102,6 +107,7 @@
 		if len(r.buf) > maxEventBytes {
 			return streamEvents{}, errEventTooLong
 		}
+		r.searched = len(r.buf)
 		var n int
 		n, r.err = r.src.Read(r.chunk[:])
 		if !r.reserve(len(r.buf) + n) {
@@ -111,14 +117,14 @@
 	}
 }
 
-// indexOfHead returns the offset of the first line that begins a response; -1 if there is
-// none. No line of an event begins so.
-func indexOfHead(b []byte) int {
-	if bytes.HasPrefix(b, lineOfHead[1:]) {
+// indexOfHead returns the offset of the first line from an offset on that begins a
+// response; -1 if there is none. No line of an event begins so.
+func (r *eventReader) indexOfHead(from int) int {
+	if from == 0 && bytes.HasPrefix(r.buf, lineOfHead[1:]) {
 		return 0
 	}
-	if i := bytes.Index(b, lineOfHead); i >= 0 {
-		return i + 1
+	if i := bytes.Index(r.buf[from:], lineOfHead); i >= 0 {
+		return from + i + 1
 	}
 	return -1
 }
