stricthttp: A response that is reset while the upload is written is not complete

Callers got a part of an answer as a complete one. A replica answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the operating system reports a reset once, to a read or to a write. net/http writes the upload in one goroutine and reads the response in another. When the write got ECONNRESET, the next read returned the end of the stream, which ends a body without a length in the regular way. net/http closes the connection after the failed write; whether a read came before that was a race.

Ruled out: the framing of bodies (a length or chunks show the cut), and an upload that is whole when the reset comes (the read gets the error).

The new package stricthttp wraps the connections of all clients that read responses: upstreams, forwarded requests, the state of other VMs, the store, and those of pier-router, pier-agent and pierctl. A read that finds the end asks whether a write lost the connection, and waits for a write in progress, so that no order of the two can pass a reset off as an end. EPIPE is not a loss: Linux returns it if the peer had ended its side before the reset, and then the response is whole. The attempt counts as failed, with the cause "reset" in pier_attempt_ends_total and the log; the caller gets 502, run unknown, or a stream that breaks off visibly.

The tests of the connection itself are deterministic.

TestSilentPeerLosesItsConnection takes the connection of a request to an upstream from the request now; its limits are the same.

--- a/internal/edge/peerstate.go
+++ b/internal/edge/peerstate.go
@@ -18,6 +18,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/catalog"
 	"github.com/cranberrypier/cranberrypier/internal/logs"
+	"github.com/cranberrypier/cranberrypier/internal/stricthttp"
 	"github.com/cranberrypier/cranberrypier/internal/transfer"
 )
 
@@ -111,9 +112,9 @@
 	if dial == nil {
 		dial = newControlDialer(peerTimeout).DialContext
 	}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: stricthttp.NewTransport(&http.Transport{
 		DisableKeepAlives: true, DialContext: limitHeads(dial), MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}
+	})}
 }
 
 // fetchState requests from a peer the changes that this VM lacks. Full lists are
--- a/internal/edge/transport.go
+++ b/internal/edge/transport.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/cranberrypier/cranberrypier/internal/stricthttp"
 )
 
 // maxPeerSilence is how long an upstream, a caller or the network may be silent
@@ -120,8 +122,8 @@
 // newUpstreamTransport returns a transport that opens a connection for each
 // attempt. A connection that is never reused can't be stale and can't carry the
 // late response to another request, and net/http never resends a request on it.
-func newUpstreamTransport(dial DialFunc) *http.Transport {
-	return &http.Transport{
+func newUpstreamTransport(dial DialFunc) *stricthttp.Transport {
+	return stricthttp.NewTransport(&http.Transport{
 		DialContext:        limitHeads(dialUnlessConnected(dial)),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
@@ -129,20 +131,20 @@
 		ReadBufferSize:     4 << 10,
 
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	})
 }
 
 // newStoreTransport returns a transport that keeps a few connections to the
 // store open.
-func newStoreTransport() *http.Transport {
-	return &http.Transport{
+func newStoreTransport() *stricthttp.Transport {
+	return stricthttp.NewTransport(&http.Transport{
 		DialContext:         newControlDialer(storeDialTimeout).DialContext,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     storeIdleTimeout,
 
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	})
 }
 
 // listen opens a listener whose connections use TCP keep-alive probes. Idle
--- a/internal/edge/transport_test.go
+++ b/internal/edge/transport_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/httptrace"
 	"testing"
 	"time"
 
@@ -19,8 +21,12 @@
 
 func readLimits(t *testing.T, c net.Conn) socketLimits {
 	t.Helper()
-	if limited, ok := c.(*headLimitedConn); ok {
-		c = limited.NetConn()
+	for {
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = outer.NetConn()
 	}
 	raw, err := c.(*net.TCPConn).SyscallConn()
 	require.NoError(t, err)
@@ -93,15 +99,31 @@
 	}
 }
 
+// upstreamConn returns the connection of a request to an upstream. It is open until the test
+// ends.
+func upstreamConn(t *testing.T, address string) net.Conn {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	conns := make(chan net.Conn, 1)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conns <- info.Conn }})
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address, nil)
+	require.NoError(t, err)
+	go func() {
+		if resp, err := newUpstreamTransport(newUpstreamDialer().DialContext).RoundTrip(req); err == nil {
+			_ = resp.Body.Close() // the peer does not respond
+		}
+	}()
+	return <-conns
+}
+
 // Guards against a request that is lost with its connection because a sound upstream,
 // or its caller, was silent for one to two seconds.
 func TestSilentPeerLosesItsConnection(t *testing.T) {
 	l, err := listen(context.Background(), "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
-	upstream, err := newUpstreamTransport(newUpstreamDialer().DialContext).DialContext(context.Background(), "tcp", l.Addr().String())
-	require.NoError(t, err)
-	defer func() { _ = upstream.Close() }()
+	upstream := upstreamConn(t, l.Addr().String())
 	otherVM, err := newForwardDialer().DialContext(context.Background(), "tcp", l.Addr().String())
 	require.NoError(t, err)
 	defer func() { _ = otherVM.Close() }()
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/document"
 	"github.com/cranberrypier/cranberrypier/internal/result"
+	"github.com/cranberrypier/cranberrypier/internal/stricthttp"
 )
 
 // maxResponseBytes is the size of the longest response that the client reads.
@@ -45,11 +46,11 @@
 // NewClient returns a client of the agents at the given IP:port addresses.
 // The timeout bounds one attempt at one agent.
 func NewClient(agents []string, tlsConfig *tls.Config, timeout time.Duration) *Client {
-	transport := &http.Transport{
+	transport := stricthttp.NewTransport(&http.Transport{
 		TLSClientConfig:   tlsConfig,
 		DialContext:       (&net.Dialer{Timeout: timeout}).DialContext,
 		ForceAttemptHTTP2: true,
-	}
+	})
 	return &Client{agents: agents, http: &http.Client{Transport: transport}, timeout: timeout}
 }
 
--- a/internal/operator/site.go
+++ b/internal/operator/site.go
@@ -14,6 +14,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/catalog"
 	"github.com/cranberrypier/cranberrypier/internal/logs"
+	"github.com/cranberrypier/cranberrypier/internal/stricthttp"
 	"github.com/cranberrypier/cranberrypier/platform"
 )
 
@@ -30,7 +31,7 @@
 func (c *SiteCommand) Run(e *Env) error {
 	ctx, cancel := context.WithTimeout(e.Context, siteTimeout)
 	defer cancel()
-	store := platform.NewStoreClient(c.Store, 0, &http.Transport{DisableKeepAlives: true}, func(string, string, time.Duration) {})
+	store := platform.NewStoreClient(c.Store, 0, stricthttp.NewTransport(&http.Transport{DisableKeepAlives: true}), func(string, string, time.Duration) {})
 	for _, printSection := range []func(context.Context, catalog.Source, io.Writer) error{
 		printConfig, printUpstreams, printRollOuts, printWithdrawals,
 	} {
--- /dev/null
+++ b/internal/platform/brokenresponse_test.go
@@ -0,0 +1,26 @@
+package platform_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/cranberrypier/cranberrypier/internal/fake/rawpeer"
+	"github.com/cranberrypier/cranberrypier/internal/platform"
+	"github.com/cranberrypier/cranberrypier/internal/result"
+)
+
+// Guards against a write that counts as done because the service reset the connection
+// while the value was written to it.
+func TestResponseResetDuringAWriteLooksWhole(t *testing.T) {
+	const writes = 1000
+	address := rawpeer.Start(t, func(conn *net.TCPConn, req *http.Request) {
+		rawpeer.ResetDuringUpload(conn, req, "HTTP/1.1 200 OK\r\nETag: \"7\"\r\n\r\n", 300<<10)
+	})
+	client := platform.NewClient(platform.Config{Address: address, VM: "vm-1", Zone: "z1"}, nil)
+	t.Cleanup(client.Close)
+	for range writes {
+		_, err := client.Create(t.Context(), platform.KindBill, "b", make([]byte, 1<<20))
+		requireCode(t, result.PlatformWriteUnknown, err)
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/cranberrypier/cranberrypier/internal/result"
+	"github.com/cranberrypier/cranberrypier/internal/stricthttp"
 	"github.com/cranberrypier/cranberrypier/internal/wire"
 )
 
@@ -68,12 +69,12 @@
 	dialer := net.Dialer{Timeout: c.Timeout}
 	return &Client{
 		config: c,
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: stricthttp.NewTransport(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
-		}},
+		})},
 		calls: promauto.With(reg).NewCounterVec(prometheus.CounterOpts{
 			Name: "pier_platform_calls_total",
 			Help: "Calls of the platform's object service by verb, kind and result; a waiting watch is one call.",
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/placement"
 	"github.com/cranberrypier/cranberrypier/internal/result"
+	"github.com/cranberrypier/cranberrypier/internal/stricthttp"
 	"github.com/cranberrypier/cranberrypier/internal/wire"
 )
 
@@ -73,7 +74,7 @@
 	return out, nil
 }
 
-func (c *Client) call(ctx context.Context, t *http.Transport, addr string, r CallRequest) (CallResponse, *Failure) {
+func (c *Client) call(ctx context.Context, t *stricthttp.Transport, addr string, r CallRequest) (CallResponse, *Failure) {
 	if r.Timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, r.Timeout)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/cranberrypier/cranberrypier/internal/placement"
+	"github.com/cranberrypier/cranberrypier/internal/stricthttp"
 	"github.com/cranberrypier/cranberrypier/internal/wire"
 )
 
@@ -56,8 +57,8 @@
 	config Config
 	// pooled reuses connections. singleUse opens a connection for each request,
 	// so that a non-idempotent call never uses a stale connection.
-	pooled    *http.Transport
-	singleUse *http.Transport
+	pooled    *stricthttp.Transport
+	singleUse *stricthttp.Transport
 	attempts  *prometheus.CounterVec
 	dials     prometheus.Counter
 }
@@ -76,9 +77,8 @@
 			Help: "Connections made to upstreams.",
 		}),
 	}
-	u.pooled = u.newTransport()
-	u.singleUse = u.newTransport()
-	u.singleUse.DisableKeepAlives = true
+	u.pooled = u.newTransport(true)
+	u.singleUse = u.newTransport(false)
 	return u
 }
 
@@ -98,9 +98,9 @@
 	return c
 }
 
-func (c *Client) newTransport() *http.Transport {
+func (c *Client) newTransport(keepAlives bool) *stricthttp.Transport {
 	dialer := net.Dialer{Timeout: c.config.DialTimeout}
-	return &http.Transport{
+	return stricthttp.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
@@ -112,7 +112,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}
+		DisableKeepAlives:   !keepAlives,
+	})
 }
 
 // Close closes idle connections.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -73,7 +73,11 @@
 func (t *connTracker) onGotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c, ok := info.Conn.(*countingConn)
+	conn := info.Conn
+	if checked, ok := conn.(interface{ NetConn() net.Conn }); ok { // of package stricthttp
+		conn = checked.NetConn()
+	}
+	c, ok := conn.(*countingConn)
 	if !ok {
 		t.untracked = true
 		return
