stricthttp: A response with an impossible status is not an answer

Callers whose upstream answered with a status of 000, 001, 099, +20 or -00 got no answer: their connection ended. Statuses of 600 and 999 and a switch of protocols (101) that nobody had asked for were passed on as answers. With a head that said that the request was rejected, status 000 was believed, and the caller got a 503 with the promise that nothing had run.

Cause: net/http takes any three characters that are a number for a status. The response writer of the VM panics on one below 100, after the attempt counted as a success.

All clients refuse statuses outside of 200 to 599, RFC 9110's range without the interim ones, and close the connection, which may be idle by then. The attempt fails with the cause "invalid_response" in the log and in pier_attempt_ends_total ("invalid" in pier_upstream_attempts_total); the request may have run, which the VM's own 502 says, and is sent again only where its route allows that. Statuses that net/http refuses itself (20, 2000, abc) were handled before, and counted as "other"; they have the same cause now.

Evidence: TestResponseWithAnImpossibleStatusIsNoAnswer (12 statuses, plain and stream, at an upstream and at another VM), and a test each of the store's clients, another VM's state and pier-router's upstreams. Unusual statuses that are possible (226, 299, 399, 418, 499, 599) pass unchanged.

--- /dev/null
+++ b/internal/edge/brokenhead_test.go
@@ -0,0 +1,98 @@
+package edge_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/cranberrypier/cranberrypier/internal/fake/rawpeer"
+)
+
+// brokenResponse returns the raw response to a request. %[1]s stands for its ID, and %[2]s
+// for a body of the form that the request expects.
+type brokenResponse string
+
+const validFields = "X-Attempt-Id: %[1]s\r\nX-Response-Signature: sig.%[1]s\r\nX-Confidence: 100\r\n"
+
+// assertIsNoAnswer sends requests whose responses are broken, directly and through another
+// VM. Each must get an error of the VM, which says that the request may have run, or, once a
+// stream has begun, a visible end.
+func (b brokenResponse) assertIsNoAnswer(t *testing.T) {
+	t.Helper()
+	for _, form := range onceForms {
+		for _, forwarded := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, forwarded %t", form.name, forwarded), func(t *testing.T) {
+				t.Parallel()
+				var requests atomic.Int64
+				address := rawpeer.Start(t, func(conn *net.TCPConn, req *http.Request) {
+					_, _ = io.Copy(io.Discard, req.Body)
+					requests.Add(1)
+					_, _ = fmt.Fprintf(conn, string(b), req.Header.Get("X-Attempt-Id"), form.body) // the VM may have closed the connection
+				})
+				d := &cutDialer{}
+				s := newSite(t)
+				s.dial["vm-1"], s.metrics = d.dial, freeAddress(t)
+				s.configure(append(routes(), streamRoute("draft", false)), key)
+				s.putEntry("raw", form.service, address, nil)
+				s.startVM("vm-1")
+				metric := `pier_attempt_ends_total{cause="invalid_response"}`
+				if forwarded {
+					s.announceVM(s.vms[0], "vm-raw", address)
+					time.Sleep(500 * time.Millisecond) // the VM hears of it
+					d.cut.Store(true)
+					s.do(call{id: "warm", path: form.path, key: key, header: map[string]string{"X-Model": "*"}})
+					metric = `pier_forwards_total{result="broken"}`
+				}
+				before, sent := max(s.metric(metric), 0), requests.Load()
+				g := s.do(call{id: "r1", path: form.path, key: key, header: map[string]string{"X-Model": "*"}})
+				if g.status == http.StatusOK && form.path == streamPath {
+					assert.Error(t, g.err, "the stream looks complete: %q", g.body)
+				} else {
+					assert.NoError(t, g.err)
+					assert.Equal(t, http.StatusBadGateway, g.status, "%q", g.body)
+					assert.Contains(t, g.body, `"run":"unknown"`)
+					assert.Empty(t, g.header.Get("X-Response-Signature"))
+				}
+				assert.EqualValues(t, 1, requests.Load()-sent, "requests that were sent")
+				assert.EqualValues(t, 1, s.metric(metric)-before, metric)
+			})
+		}
+	}
+}
+
+// Guards against a response with an impossible status that reaches the caller, or ends its
+// connection without a response.
+func TestResponseWithAnImpossibleStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+20", "-00", "101", "600", "999", "20", "2000", "abc"} {
+		t.Run(status, func(t *testing.T) {
+			brokenResponse("HTTP/1.1 " + status + " Status\r\n" + validFields + "Connection: close\r\n\r\n%[2]s").assertIsNoAnswer(t)
+			brokenResponse("HTTP/1.1 " + status + " Status\r\n" + validFields + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n").assertIsNoAnswer(t)
+		})
+	}
+	t.Run("switch of protocols", func(t *testing.T) {
+		brokenResponse("HTTP/1.1 101 Switching Protocols\r\n" + validFields + "Connection: Upgrade\r\nUpgrade: other\r\n\r\n%[2]s").assertIsNoAnswer(t)
+	})
+}
+
+// Guards against the refusal of a response whose status is unusual, but possible.
+func TestResponseWithAnUnusualStatusIsAnAnswer(t *testing.T) {
+	for _, status := range []int{200, 226, 299, 399, 418, 499, 599} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			s := newSite(t)
+			s.configure(routes(), key)
+			s.rawReplica("o1", orders, func(_ int32, id string) string {
+				return fmt.Sprintf("HTTP/1.1 %[2]d Status\r\n"+validFields+"Content-Length: 4\r\n\r\nbody", id, status)
+			})
+			s.startVM("vm-1")
+			g := s.do(call{id: "r1", path: plainPath, key: key})
+			assert.Equal(t, status, g.status)
+			assert.Equal(t, "body", g.body)
+		})
+	}
+}
--- a/internal/edge/earlyanswer_test.go
+++ b/internal/edge/earlyanswer_test.go
@@ -125,22 +125,22 @@
 	assert.Greater(s.t, e.resets.Load(), int64(uploads/2), "uploads that were reset")
 }
 
-// earlyParts are the parts of answers that upstreams send, by the form of the answer.
-var earlyParts = []struct{ form, path, body string }{
-	{"plain", plainPath, "a part of an answer"},
-	{"stream", streamPath, "id: 1\ndata: a b\n\n"},
+// onceForms are the forms of requests that may run once, with a body of the response.
+var onceForms = []struct{ name, path, service, body string }{
+	{"plain", plainPath, orders, "some text"},
+	{"stream", streamPath, engine, "id: 1\ndata: a b\n\n"},
 }
 
 // Guards against a part of an answer that looks whole to the caller because the upstream
 // reset the connection while the upload was written to it.
 func TestAnswerResetDuringTheUploadLooksWhole(t *testing.T) {
 	const uploads = 400
-	for _, part := range earlyParts {
+	for _, form := range onceForms {
 		for _, reading := range []uploadReading{readsFast, readsSlowly, readsNothing} {
-			t.Run(fmt.Sprintf("%s, upstream %s", part.form, reading), func(t *testing.T) {
-				e := &earlyReplica{reading: reading, body: part.body}
+			t.Run(fmt.Sprintf("%s, upstream %s", form.name, reading), func(t *testing.T) {
+				e := &earlyReplica{reading: reading, body: form.body}
 				s := newEarlySite(t, e, nil)
-				e.assertNoPartLooksWhole(s, part.path, uploads)
+				e.assertNoPartLooksWhole(s, form.path, uploads)
 				assert.EqualValues(t, e.resets.Load(), s.metric(`pier_attempt_ends_total{cause="reset"}`))
 			})
 		}
@@ -151,19 +151,19 @@
 // request is forwarded.
 func TestForwardedAnswerResetDuringTheUploadLooksWhole(t *testing.T) {
 	const uploads = 400
-	for _, part := range earlyParts {
+	for _, form := range onceForms {
 		for _, reading := range []uploadReading{readsFast, readsNothing} {
-			t.Run(fmt.Sprintf("%s, VM %s", part.form, reading), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s, VM %s", form.name, reading), func(t *testing.T) {
 				d := &cutDialer{}
-				e := &earlyReplica{reading: reading, body: part.body}
+				e := &earlyReplica{reading: reading, body: form.body}
 				s := newEarlySite(t, e, d.dial)
 				for i := range earlyCallers {
 					s.announceVM(s.vms[0], fmt.Sprint("vm-early-", i), rawpeer.Start(t, e.respond))
 				}
 				time.Sleep(500 * time.Millisecond) // the VM hears of them
 				d.cut.Store(true)
-				s.do(call{id: "warm", path: part.path, key: key, header: map[string]string{"X-Model": "*"}})
-				e.assertNoPartLooksWhole(s, part.path, uploads)
+				s.do(call{id: "warm", path: form.path, key: key, header: map[string]string{"X-Model": "*"}})
+				e.assertNoPartLooksWhole(s, form.path, uploads)
 			})
 		}
 	}
--- a/internal/edge/endcause.go
+++ b/internal/edge/endcause.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/cranberrypier/cranberrypier/internal/exchange"
+	"github.com/cranberrypier/cranberrypier/internal/stricthttp"
 )
 
 // endCause is what ended an attempt, for the log and the metrics. It tells who gave
@@ -25,7 +26,9 @@
 	endConnTimeout endCause = "conn_timeout"
 	endReset       endCause = "reset"
 	// endClosed: the upstream closed the connection before the end of its answer.
-	endClosed       endCause = "closed"
+	endClosed endCause = "closed"
+	// endInvalid: the upstream sent bytes that are no valid response.
+	endInvalid      endCause = "invalid_response"
 	endHeadTimeout  endCause = "head_timeout"
 	endStallTimeout endCause = "stall_timeout"
 	endDeadline     endCause = "deadline"
@@ -48,6 +51,7 @@
 	{errVMStopping, endVMStopping},
 	{context.DeadlineExceeded, endDeadline},
 	{context.Canceled, endCallerGone},
+	{stricthttp.ErrInvalid, endInvalid},
 	{syscall.ETIMEDOUT, endConnTimeout},
 	{syscall.ECONNRESET, endReset},
 	{syscall.EPIPE, endReset},
--- a/internal/edge/peerstate_test.go
+++ b/internal/edge/peerstate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,8 +11,10 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/cranberrypier/cranberrypier/internal/fake/rawpeer"
 	"github.com/cranberrypier/cranberrypier/internal/fleet"
 	"github.com/cranberrypier/cranberrypier/internal/relay"
+	"github.com/cranberrypier/cranberrypier/internal/stricthttp"
 	"github.com/cranberrypier/cranberrypier/internal/vm"
 )
 
@@ -76,3 +79,19 @@
 		})
 	}
 }
+
+// Guards against a response of another VM that is not valid HTTP and counts as its state.
+func TestInvalidResponseIsNoStateOfAPeer(t *testing.T) {
+	const state = "{\"returnedMS\":1}"
+	for name, response := range map[string]string{
+		"status 000": "HTTP/1.1 000 Status\r\nContent-Length: 16\r\n\r\n" + state,
+		"status 101": "HTTP/1.1 101 Switching Protocols\r\n\r\n" + state,
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := rawpeer.Start(t, func(conn *net.TCPConn, _ *http.Request) { _, _ = conn.Write([]byte(response)) })
+			f := NewFollower(&Proxy{fleet: fleet.New(fleet.Config{})}, Options{Settings: &vm.Settings{}}, time.Now())
+			_, err := f.fetchState(context.Background(), newStateClient(nil), newerPeer{address: address, digest: &relay.Digest{}})
+			assert.ErrorIs(t, err, stricthttp.ErrInvalid)
+		})
+	}
+}
--- a/internal/placement/eject.go
+++ b/internal/placement/eject.go
@@ -19,7 +19,7 @@
 
 func isFailure(end End) bool {
 	switch end {
-	case EndReset, EndUnreachable, EndStalled, EndStatus:
+	case EndReset, EndUnreachable, EndInvalid, EndStalled, EndStatus:
 		return true
 	}
 	return false
--- a/internal/placement/messages.go
+++ b/internal/placement/messages.go
@@ -73,6 +73,8 @@
 	EndUnreachable End = "unreachable"
 	// EndReset means that an established connection broke.
 	EndReset End = "reset"
+	// EndInvalid means that the upstream sent bytes that are no valid response.
+	EndInvalid End = "invalid"
 	// EndStalled means that the response stopped making progress.
 	EndStalled End = "silent"
 	// EndStatus is an error status of the upstream.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -219,7 +219,7 @@
 // granted at grantedAt.
 func (u *upstream) applyOutcome(o Outcome, grantedAt, now time.Time) {
 	switch o.End {
-	case EndReset, EndUnreachable, EndStalled:
+	case EndReset, EndUnreachable, EndInvalid, EndStalled:
 		if u.isEngine() {
 			u.markNotWarm(warmthSuspect, now)
 		}
--- a/internal/platform/brokenresponse_test.go
+++ b/internal/platform/brokenresponse_test.go
@@ -24,3 +24,21 @@
 		requireCode(t, result.PlatformWriteUnknown, err)
 	}
 }
+
+// Guards against a response that is not valid HTTP and counts as one of the service.
+func TestInvalidResponseIsNoAnswer(t *testing.T) {
+	for name, response := range map[string]string{
+		"status 000": "HTTP/1.1 000 Status\r\nETag: \"7\"\r\nContent-Length: 2\r\n\r\n{}",
+		"status 101": "HTTP/1.1 101 Switching Protocols\r\nETag: \"7\"\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := rawpeer.Start(t, func(conn *net.TCPConn, _ *http.Request) { _, _ = conn.Write([]byte(response)) })
+			client := platform.NewClient(platform.Config{Address: address, VM: "vm-1", Zone: "z1"}, nil)
+			t.Cleanup(client.Close)
+			_, err := client.Create(t.Context(), platform.KindBill, "b", []byte("v"))
+			requireCode(t, result.PlatformWriteUnknown, err)
+			_, err = client.List(t.Context(), platform.KindBill, "")
+			requireCode(t, result.PlatformUnavailable, err)
+		})
+	}
+}
--- a/internal/stricthttp/transport.go
+++ b/internal/stricthttp/transport.go
@@ -3,10 +3,17 @@
 package stricthttp
 
 import (
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"strings"
 )
 
+// ErrInvalid matches the errors of responses that are not valid HTTP.
+var ErrInvalid = errors.New("the response is not valid HTTP")
+
 // Transport is an http.RoundTripper. It is safe for concurrent use.
 type Transport struct {
 	base *http.Transport
@@ -23,9 +30,44 @@
 	return &Transport{base: base}
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. After an invalid response, it closes the
+// connection.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	return t.base.RoundTrip(req)
+	var conn net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, markInvalid(err)
+	}
+	if err := checkStatus(resp); err != nil {
+		_ = resp.Body.Close() // the response is over
+		_ = conn.Close()      // it may be idle already if there is no body
+		return nil, err
+	}
+	return resp, nil
+}
+
+// markInvalid marks the errors with which net/http refuses a response that it cannot parse.
+// It has no type for all of them.
+func markInvalid(err error) error {
+	if strings.Contains(err.Error(), ": malformed HTTP ") {
+		return fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	return err
+}
+
+// Statuses of final responses; see RFC 9110, section 15. Requests ask for no switch of
+// protocols (101).
+const (
+	minFinalStatus = 200
+	maxStatus      = 599
+)
+
+func checkStatus(resp *http.Response) error {
+	if resp.StatusCode < minFinalStatus || resp.StatusCode > maxStatus {
+		return fmt.Errorf("%w: its status is %.20q", ErrInvalid, resp.Status)
+	}
+	return nil
 }
 
 // CloseIdleConnections closes the connections that no request uses.
--- a/internal/upstream/brokenresponse_test.go
+++ b/internal/upstream/brokenresponse_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cranberrypier/cranberrypier/internal/fake/rawpeer"
+	"github.com/cranberrypier/cranberrypier/internal/placement"
 	"github.com/cranberrypier/cranberrypier/internal/result"
 	"github.com/cranberrypier/cranberrypier/internal/upstream"
 )
@@ -35,3 +36,24 @@
 		}
 	}
 }
+
+// Guards against a response that is not valid HTTP and counts as one of the upstream.
+func TestInvalidResponseIsNoAnswer(t *testing.T) {
+	for name, response := range map[string]string{
+		"status 000": "HTTP/1.1 000 Status\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n",
+		"status +20": "HTTP/1.1 +20 Status\r\nX-Request-Id: r1\r\nContent-Length: 2\r\n\r\n{}",
+		"status 101": "HTTP/1.1 101 Switching Protocols\r\nX-Request-Id: r1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := rawpeer.Start(t, func(conn *net.TCPConn, _ *http.Request) { _, _ = conn.Write([]byte(response)) })
+			c := newClient(t, longTimeout, longTimeout)
+			_, call := c.Do(t.Context(), address, upstream.CallRequest{RequestID: "r1", Method: http.MethodPost, Path: "/work"})
+			_, _, stream := readStream(t.Context(), c, address, upstream.StreamRequest{RequestID: "r1", Target: target, Body: chatBody(prompt)})
+			_, load := c.Load(t.Context(), address)
+			for _, err := range []error{call, stream, load} {
+				requireMayHaveRun(t, err)
+				require.Equal(t, placement.EndInvalid, upstream.FailureOf(err).End)
+			}
+		})
+	}
+}
--- a/internal/upstream/failure.go
+++ b/internal/upstream/failure.go
@@ -12,6 +12,7 @@
 
 	"github.com/cranberrypier/cranberrypier/internal/placement"
 	"github.com/cranberrypier/cranberrypier/internal/result"
+	"github.com/cranberrypier/cranberrypier/internal/stricthttp"
 	"github.com/cranberrypier/cranberrypier/internal/wire"
 )
 
@@ -84,6 +85,8 @@
 		code = result.CallerGone
 	case !connected:
 		f.End = placement.EndUnreachable
+	case errors.Is(err, stricthttp.ErrInvalid):
+		f.End = placement.EndInvalid
 	}
 	f.Err = resultError(code, f.Sent, "%v", err)
 	return f
