edge: A head with a folded line is not an answer

A line of a head that begins with a blank or a tab, such as " X-Name: 1", reached callers as part of the value before it, which may be the signature.

Cause: net/http joins such a line to the one before (obsolete line folding). RFC 9112, section 5.2, lets a gateway do so or refuse the response. A sound upstream does not send it; one that sends broken heads does.

The connections to upstreams and other VMs, whose heads are read line by line before net/http, end at such a line, with the cause "invalid_response". The store's connections carry many responses and are not read so; none of its fields is passed on. Folded lines of a trailer stay as they are: no trailer is passed on.

--- a/internal/edge/brokenhead_test.go
+++ b/internal/edge/brokenhead_test.go
@@ -116,6 +116,23 @@
 	}
 }
 
+// Guards against a line that begins with a blank and becomes part of the value before it,
+// such as the signature.
+func TestResponseWithAFoldedLineIsNoAnswer(t *testing.T) {
+	for name, line := range map[string]string{"blank": " X-Name: 1", "tab": "\tX-Name: 1", "only a blank": " "} {
+		for place, response := range map[string]string{
+			"head":         "HTTP/1.1 200 OK\r\nX-Attempt-Id: %[1]s\r\nX-Confidence: 100\r\nX-Response-Signature: sig.%[1]s\r\n" + line + "\r\nContent-Length: %[3]d\r\n\r\n%[2]s",
+			"first line":   "HTTP/1.1 200 OK\r\n" + line + "\r\n" + validFields + "Content-Length: %[3]d\r\n\r\n%[2]s",
+			"interim head": "HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n" + validFields + "Content-Length: %[3]d\r\n\r\n%[2]s",
+		} {
+			t.Run(name+", "+place, func(t *testing.T) {
+				t.Parallel()
+				brokenResponse(response).assertIsNoAnswer(t)
+			})
+		}
+	}
+}
+
 // Guards against the refusal of a response whose status is unusual, but possible.
 func TestResponseWithAnUnusualStatusIsAnAnswer(t *testing.T) {
 	for _, status := range []int{200, 226, 299, 399, 418, 499, 599} {
--- a/internal/edge/headlines.go
+++ b/internal/edge/headlines.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+
+	"github.com/cranberrypier/cranberrypier/internal/stricthttp"
 )
 
 // maxResponseHeadLines limits the lines of the heads of a response: the last one and the
@@ -11,9 +14,15 @@
 // limit of bytes alone bounds the memory poorly.
 const maxResponseHeadLines = 512
 
-var errTooManyHeadLines = errors.New("the head of the response has too many lines")
+var (
+	errTooManyHeadLines = errors.New("the head of the response has too many lines")
+	// errFoldedLine refuses a line that begins with a blank. As obsolete line folding it
+	// would become part of the value before it; RFC 9112, section 5.2, lets gateways refuse
+	// that.
+	errFoldedLine = fmt.Errorf("%w: a line of the head begins with a blank", stricthttp.ErrInvalid)
+)
 
-// headLines counts the lines of the heads that begin a connection's bytes.
+// headLines counts and checks the lines of the heads that begin a connection's bytes.
 type headLines struct {
 	lines      int
 	lineLength int
@@ -27,8 +36,9 @@
 // statusClassAt is the offset of the status in a status line.
 const statusClassAt = len("HTTP/1.1 ")
 
-// add counts the lines of further bytes and reports whether they are within the limit.
-func (h *headLines) add(b []byte) bool {
+// add counts the lines of further bytes. It returns an error if they are too many, or if
+// one is folded.
+func (h *headLines) add(b []byte) error {
 	for i := 0; i < len(b) && !h.done; i++ {
 		switch b[i] {
 		case '\r':
@@ -38,10 +48,16 @@
 			if !h.inHead && h.lineLength == statusClassAt {
 				h.statusClass = b[i]
 			}
+			if h.inHead && h.lineLength == 0 && (b[i] == ' ' || b[i] == '\t') {
+				return errFoldedLine
+			}
 			h.lineLength++
 		}
 	}
-	return h.lines <= maxResponseHeadLines
+	if h.lines > maxResponseHeadLines {
+		return errTooManyHeadLines
+	}
+	return nil
 }
 
 func (h *headLines) endLine() {
@@ -64,8 +80,8 @@
 
 func (c *headLimitedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if !c.head.add(b[:n]) {
-		return 0, errTooManyHeadLines
+	if invalid := c.head.add(b[:n]); invalid != nil {
+		return 0, invalid
 	}
 	return n, err
 }
@@ -74,7 +90,7 @@
 func (c *headLimitedConn) NetConn() net.Conn { return c.Conn }
 
 // limitHeads returns a function that opens connections whose responses have a limited
-// number of lines in their heads. Each connection may carry one response only.
+// number of lines in their heads, none of which is folded. Each connection may carry one response only.
 func limitHeads(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
--- a/internal/edge/peerstate_test.go
+++ b/internal/edge/peerstate_test.go
@@ -87,6 +87,7 @@
 		"status 000": "HTTP/1.1 000 Status\r\nContent-Length: 16\r\n\r\n" + state,
 		"status 101": "HTTP/1.1 101 Switching Protocols\r\n\r\n" + state,
 		"head":       "HTTP/1.1 200 OK\r\nX Name: 1\r\nContent-Length: 16\r\n\r\n" + state,
+		"folded":     "HTTP/1.1 200 OK\r\nServer: x\r\n X-Name: 1\r\nContent-Length: 16\r\n\r\n" + state,
 		"length":     "HTTP/1.1 200 OK\r\nContent-Length : 15\r\n\r\n" + state,
 		"interim":    "HTTP/1.1 103 Early Hints\r\nX Name: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + state,
 		"trailer":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n" + state + "\r\n0\r\nX Name: 1\r\n\r\n",
