stricthttp: Reads wait for a write on a channel

Its VMs run in fake time, which moves on only while every goroutine waits on something that the test's bubble knows. A read that had found the end of a connection waited for the mutex of a write that waited for the time.

The lock is a channel.

--- a/internal/stricthttp/conn.go
+++ b/internal/stricthttp/conn.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"os"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -22,7 +21,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &endCheckedConn{Conn: c}, nil
+		return &endCheckedConn{Conn: c, writing: make(chan struct{}, 1)}, nil
 	}
 }
 
@@ -33,16 +32,18 @@
 // up. endCheckedConn returns the error of the write instead.
 type endCheckedConn struct {
 	net.Conn
-	// mu is held during a write.
-	mu sync.Mutex
-	// broken is the error of a write to which the connection was lost.
+	// writing is full during a write. It is no mutex, because fake time (testing/synctest)
+	// stands still while a goroutine waits for one.
+	writing chan struct{}
+	// broken is the error of a write to which the connection was lost. It is guarded by
+	// writing.
 	broken error
 }
 
 // Write implements net.Conn.
 func (c *endCheckedConn) Write(b []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
 	n, err := c.Conn.Write(b)
 	if c.broken == nil && isConnLost(err) {
 		c.broken = err
@@ -59,8 +60,8 @@
 	// A write that is in progress may be the one that got the error. The deadline ends it
 	// if it blocks instead; a peer that has ended its side has sent all of its response.
 	_ = c.SetWriteDeadline(time.Unix(1, 0)) // fails only if the connection is closed
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
 	if c.broken != nil {
 		return n, c.broken
 	}
