--- a/internal/stricthttp/transport.go
+++ b/internal/stricthttp/transport.go
@@ -51,7 +51,9 @@
 	}
 	if err := errors.Join(checkStatus(resp), checkNames(resp.Header)); err != nil {
 		_ = resp.Body.Close() // the response is over
-		_ = conn.Close()      // it may be idle already if there is no body
+		if conn != nil {
+			_ = conn.Close() // it may be idle already if there is no body
+		}
 		return nil, err
 	}
 	if len(resp.TransferEncoding) > 0 {
