rawpeer: The stand-in reads a request before it responds and closes

Cause: the stand-in closed the connection with the request's body unread, which resets it; the client's write then failed before the head was read, and the reset was the true end. Ruled out: a head that is read and not refused.

Tests of resets during an upload use another function.

--- a/internal/edge/brokenhead_test.go
+++ b/internal/edge/brokenhead_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -29,9 +28,8 @@
 				var response atomic.Pointer[string]
 				var requests atomic.Int64
 				respond := func(conn *net.TCPConn, req *http.Request) {
-					_, _ = io.Copy(io.Discard, req.Body)
 					requests.Add(1)
-					_, _ = fmt.Fprintf(conn, *response.Load(), req.Header.Get("X-Attempt-Id"), form.body, len(form.body)) // the VM may have closed the connection
+					rawpeer.Respond(conn, req, fmt.Sprintf(*response.Load(), req.Header.Get("X-Attempt-Id"), form.body, len(form.body)))
 				}
 				s, metric := newRawSite(t, form.path, respond, forwarded, &response)
 				for name, raw := range responses {
--- a/internal/edge/peerstate_test.go
+++ b/internal/edge/peerstate_test.go
@@ -94,7 +94,7 @@
 		"tab":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n" + state + "\r\n0\r\nX\tName: 1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := rawpeer.Start(t, func(conn *net.TCPConn, _ *http.Request) { _, _ = conn.Write([]byte(response)) })
+			address := rawpeer.Start(t, func(conn *net.TCPConn, req *http.Request) { rawpeer.Respond(conn, req, response) })
 			f := NewFollower(&Proxy{fleet: fleet.New(fleet.Config{})}, Options{Settings: &vm.Settings{}}, time.Now())
 			_, err := f.fetchState(context.Background(), newStateClient(nil), newerPeer{address: address, digest: &relay.Digest{}})
 			assert.ErrorIs(t, err, stricthttp.ErrInvalid)
--- a/internal/fake/rawpeer/rawpeer.go
+++ b/internal/fake/rawpeer/rawpeer.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -54,3 +55,12 @@
 	}
 	_ = conn.SetLinger(0) // fails only if the connection is gone
 }
+
+// Respond reads the request to its end and responds with raw bytes. A connection that is
+// closed before that would be reset.
+func Respond(conn *net.TCPConn, req *http.Request, response string) {
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, response) // the client may have closed the connection
+}
--- a/internal/platform/brokenresponse_test.go
+++ b/internal/platform/brokenresponse_test.go
@@ -36,7 +36,7 @@
 		"trailer":    "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Name: 1\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := rawpeer.Start(t, func(conn *net.TCPConn, _ *http.Request) { _, _ = conn.Write([]byte(response)) })
+			address := rawpeer.Start(t, func(conn *net.TCPConn, req *http.Request) { rawpeer.Respond(conn, req, response) })
 			client := platform.NewClient(platform.Config{Address: address, VM: "vm-1", Zone: "z1"}, nil)
 			t.Cleanup(client.Close)
 			_, err := client.Create(t.Context(), platform.KindBill, "b", []byte("v"))
--- a/internal/upstream/brokenresponse_test.go
+++ b/internal/upstream/brokenresponse_test.go
@@ -1,7 +1,6 @@
 package upstream_test
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -55,7 +54,7 @@
 		t.Run(name, func(t *testing.T) {
 			address := rawpeer.Start(t, func(conn *net.TCPConn, req *http.Request) {
 				id := req.Header.Get("X-Request-Id") // none in a call for the load
-				_, _ = io.WriteString(conn, strings.Replace(response, "X-Request-Id: r1", "X-Request-Id: "+id, 1))
+				rawpeer.Respond(conn, req, strings.Replace(response, "X-Request-Id: r1", "X-Request-Id: "+id, 1))
 			})
 			c := newClient(t, longTimeout, longTimeout)
 			_, call := c.Do(t.Context(), address, upstream.CallRequest{RequestID: "r1", Method: http.MethodPost, Path: "/work"})
