--- a/review/rig3/heads.go
+++ b/review/rig3/heads.go
@@ -101,6 +101,17 @@
 	}
 }
 
+// endedOften returns the number of VMs whose process ended as often as the rule says.
+func endedOften(guards []*memoryGuard) int {
+	n := 0
+	for _, g := range guards {
+		if g.kills.Load() >= endsForFault {
+			n++
+		}
+	}
+	return n
+}
+
 func init() { cases["heads"] = runHeads }
 
 // runHeads shows what the memory of VMs does under heads over the limit.
@@ -134,16 +145,12 @@
 	attacks.Wait()
 	stop.Store(true)
 	wait.Wait()
-	ended := 0
 	for _, g := range guards {
 		r.note("%s: %d ends for its memory; most memory %d MB of %d", g.v.name, g.kills.Load(), g.most.Load()>>20, memoryMB)
-		if g.kills.Load() >= endsForFault {
-			ended++
-		}
 	}
 	r.note("ordinary lookups at these machines: %d served, %d failed; %d of them had run", served.Load(), failed.Load(), lost.Load())
-	if ended >= attackedVMs {
-		r.breaks("on %d of %d machines the process ended %d times, because its memory was over the limit", ended, len(r.vms), endsForFault)
+	if n := endedOften(guards); n >= attackedVMs {
+		r.breaks("on %d of %d machines the process ended %d times, because its memory was over the limit", n, len(r.vms), endsForFault)
 	}
 	return nil
 }
